--- /dev/null
+++ b/include/gorsenotch/logic.h
@@ -0,0 +1,228 @@
+// gorsenotch: the interface of the decision module.
+//
+// A host (a gateway, or the drill adapter) makes one Router for each gateway process, feeds it every event in
+// the order in which it happened and carries out the returned actions in the order given.
+//
+// Units: times are milliseconds on one monotonic clock of the host's choosing; lengths are tokens.
+// Names (class, tenant, zone, kind) are indices into the settings, so the module cannot see them.
+// Ownership: the Router copies what it needs; ids handed in come back unchanged.
+// Threading: a Router has no locks and no global state; calls to one Router must not overlap.
+// Errors: the constructor throws std::invalid_argument naming the setting that cannot be met. An event about
+// a request, attempt, timer or server that is no longer known changes nothing. The caller guarantees: time
+// never goes backwards, request ids never repeat within a Router's life, each Attempt gets exactly one
+// Outcome, and each SetTimer gets one Due.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace gorsenotch {
+
+using Millis = double;
+using RequestId = std::string;
+using ServerId = std::uint32_t;
+
+enum class Effect { repeatable, by_key, once };  // what a repeat of the request may do
+enum class Group { all, zone, cell };            // which servers drop a repeat of a by_key request
+enum class Role { read, write, both };           // reads prompts, writes answers, or does either
+enum class Mode { healthy, draining, gone };     // as discovery lists a server
+enum class Discovery { push, ask };              // list changes come by themselves, or must be asked for
+
+struct ClassSettings {
+    Millis aim = 0;           // first token wanted within this ...
+    Millis aim_per_1000 = 0;  // ... plus this for each 1,000 prompt tokens
+    Millis deadline = 0;      // how long a client waits over all its tries
+    double worth = 1;         // of a request (or of a unit of its work)
+    double late_share = 0;    // share of the worth for an answer after the aim
+    Millis token_aim = 0;     // wanted time between tokens of a stream
+    Effect effect = Effect::repeatable;
+    Group group = Group::all;  // by_key only
+    Millis window = 0;         // by_key only: for how long repeats are dropped
+};
+
+struct TenantSettings {
+    double quota_per_s = 0;  // requests a second over all gateways that earn full worth; 0: unlimited
+};
+
+struct KindSettings {
+    Role role = Role::both;
+    double memory_tokens = 0;  // what one server of this kind holds
+};
+
+struct Settings {
+    std::vector<ClassSettings> classes;
+    std::vector<TenantSettings> tenants;
+    std::vector<KindSettings> kinds;
+    int zones = 1;
+    int own_zone = 0;
+    int gateways = 1;
+    Discovery discovery = Discovery::push;
+    Millis ask_within = 0;  // `ask`: how old the last call may be
+    // what the deployment permits
+    int max_attempts = 1;
+    bool cancel = false;
+    bool second_copies = false;
+    bool probes = false;
+    bool hold_ahead = false;
+    bool retry_after = false;
+    bool local_read = false;  // a writer reads a prompt itself when there is no state to fetch
+    bool resume = false;      // a broken stream can go on elsewhere
+    Millis max_retry_after = 0;
+    Millis dial_timeout = 0;
+    double over_share_worth = 1;  // worth of a request beyond its tenant's quota, as a share
+    // guarantees
+    Millis answer_slack = 0;
+    Millis drain_grace = 0;
+    Millis let_go_within = 0;
+    double fall_multiple = 1;
+    Millis fall_window = 0;
+    double start_capacity = 1;
+    Millis warm_within = 0;
+    Millis step = 1;  // events come at most this often
+};
+
+// ---- events ---------------------------------------------------------------------------------------------
+
+// What a server says of its load. A value below 0 is absent.
+struct LoadReport {
+    double memory_share = -1;     // share of its memory held, 0 to 1
+    double waiting_ktokens = -1;  // thousands of prompt tokens waiting to be read or fetched
+    Millis latency = -1;          // recent time to the end of a read or to the first token
+};
+
+struct Arrival {  // a client's request; it gets exactly one final answer
+    RequestId request;
+    int cls = 0;
+    int tenant = 0;
+    std::uint64_t session = 0;
+    std::uint64_t prefix = 0;  // shared beginning of the prompt, 0 for none
+    Millis deadline = 0;       // clock time at which the client leaves
+    Millis length_hint = -1;   // guessed answer length as time at the class's token aim; below 0: none
+    double prompt_tokens = 0;
+    double prefix_tokens = 0;
+    double max_tokens = 0;
+    bool client_retry = false;  // a client's repeat, where clients mark it
+    bool resumed = false;       // came again after its stream broke
+};
+
+enum class Result { served, error, full, late, unreachable, reset, cancelled, not_sent, read_done };
+
+struct Outcome {  // how an attempt ended; exactly one for each attempt
+    RequestId request;
+    int attempt = 0;
+    ServerId server = 0;
+    Result result = Result::served;
+    Millis took = 0;
+    bool closed = false;  // nothing more is owed for the request
+    double note = 0;      // read_done: prompt tokens found kept; full: 1 if there was no state to fetch
+    LoadReport report;
+};
+
+struct FirstToken {  // the stream has begun; the client's deadline stops running
+    RequestId request;
+    int attempt = 0;
+    ServerId server = 0;
+    Millis took = 0;
+};
+
+struct PlaceNote {  // answer to HoldPlace
+    RequestId request;
+    ServerId server = 0;
+    bool held = false;
+};
+
+struct ClientGone {
+    RequestId request;
+};
+
+struct ServerEntry {
+    ServerId server = 0;
+    int zone = 0;
+    int kind = 0;
+    std::uint64_t cell = 0;
+    Mode mode = Mode::healthy;
+    double weight = 1;
+    Millis started = 0;  // 0: long ago
+};
+
+struct ListEvent {
+    enum class Form { changes, full, saved, failed } form = Form::full;  // saved: as last held, maybe stale
+    std::vector<ServerEntry> entries;
+};
+
+struct ProbeResult {
+    ServerId server = 0;
+    bool good = false;
+    Millis took = 0;
+    LoadReport report;
+};
+
+struct Due {
+    std::uint64_t label = 0;
+};
+
+using Event = std::variant<Arrival, Outcome, FirstToken, PlaceNote, ClientGone, ListEvent, ProbeResult, Due>;
+
+// ---- actions --------------------------------------------------------------------------------------------
+
+struct Attempt {  // send the request; attempts of a request count from 0
+    RequestId request;
+    ServerId server = 0;
+    Millis limit = 0;  // time-out of this attempt; 0: until the client leaves
+};
+struct StopAttempt {
+    RequestId request;
+    int attempt = 0;
+};
+struct HoldPlace {
+    RequestId request;
+    ServerId server = 0;
+};
+struct DropState {  // let go of every state and place held that no attempt waits for
+    RequestId request;
+};
+struct Refuse {  // final: did not run, may come again
+    RequestId request;
+    Millis pause = 0;  // advice when to come again; 0: none
+};
+struct Fail {  // final: may have run
+    RequestId request;
+};
+struct MoveStream {  // hand a begun stream back to its client, which comes again
+    RequestId request;
+};
+struct Probe {
+    ServerId server = 0;
+};
+struct SetTimer {
+    std::uint64_t label = 0;
+    Millis at = 0;
+};
+struct Subscribe {};  // ask for a standing list subscription
+struct FetchList {};  // ask once for the whole list
+struct Log {
+    std::string text;
+};
+
+using Action = std::variant<Attempt, StopAttempt, HoldPlace, DropState, Refuse, Fail, MoveStream, Probe,
+                            SetTimer, Subscribe, FetchList, Log>;
+
+class Router {
+public:
+    Router(const Settings& settings, std::uint64_t seed);
+    ~Router();
+    Router(Router&&) noexcept;
+    Router& operator=(Router&&) noexcept;
+
+    // Takes one event that happened at `now`; appends the actions to carry out at once to `actions`.
+    void handle(Millis now, const Event& event, std::vector<Action>& actions);
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gorsenotch
--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,713 @@
+// The decision module. Its interface (settings, events, actions, class Router): include/gorsenotch/logic.h
+#include "gorsenotch/logic.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+#include <stdexcept>
+
+namespace gorsenotch {
+namespace {
+
+// Constants held for all deployments; everything else derives from settings, aims or what is observed.
+constexpr double kSlowFactor = 3;    // a server this many times slower than its peers is worth leaving
+constexpr double kSlowEvidence = 4;  // log-likelihood at which it is flagged (odds of about 55 to 1)
+constexpr double kErrorFlag = 0.35;  // recent share of failed outcomes that flags a server
+constexpr double kErrorStep = 0.2;   // weight of one outcome in that share: two failures running flag
+constexpr double kNearFull = 0.9;    // reported share of memory at which a writer has no room
+constexpr double kQuantum = 500;     // tokens; the paper's quantum, for streams that are still young
+constexpr double kTrusted = 16;      // requests out at once that end a suspect's slow start
+constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
+constexpr double kRetryShare = 0.2;  // further attempts for each first token: the retry budget
+constexpr double kRateSpan = 3000;   // ms over which rates are averaged
+constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
+
+enum Stage { reading = 0, waiting = 1, streaming = 2 };
+
+// A decayed event rate, per ms.
+struct Rate {
+    double value = 0;
+    Millis at = 0;
+    double read(Millis now) const { return value * std::exp((at - now) / kRateSpan); }
+    void add(Millis now, double n = 1) { value = read(now) + n / kRateSpan, at = now; }
+};
+
+struct Mean {
+    double value = 0;
+    int samples = 0;
+    void add(double x) {
+        samples = std::min(samples + 1, 30);
+        value += (x - value) / samples;
+    }
+};
+
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
+    std::uint64_t x = a * 0x9E3779B97F4A7C15ULL + b;
+    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
+    x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
+    return x ^ (x >> 31);
+}
+
+struct Server {
+    ServerEntry entry;
+    Role role = Role::both;
+    Millis cold_since = -1e18;  // when it last started, as listed or as concluded from a return
+    // own load
+    std::array<std::vector<int>, 3> out;           // attempts out by stage and class
+    double held = 0;                               // tokens of own reads and waiting states, ghosts included
+    std::deque<std::pair<Millis, double>> ghosts;  // given up on, but perhaps still worked at: until, tokens
+    // reports
+    double others = 0;  // tokens held for others by the latest report
+    Millis heard = -1e18;
+    double memory_share = -1;
+    // health
+    double errors = 0;
+    std::array<double, 3> slow{};  // evidence of slowness by stage
+    Millis advanced = 0;
+    bool suspect = false, was_down = false;
+    Millis retry_at = 0, pause = 0, suspected = 0;
+    double allow = 0;  // requests out at once while suspect
+    Millis full_until = -1e18;
+    Rate sends;
+    std::deque<Millis> recent;  // sends within the fall window, kept while cold
+
+    bool reads() const { return role != Role::write; }
+    bool writes() const { return role != Role::read; }
+    int count(Stage s) const {
+        int n = 0;
+        for (int c : out[s]) n += c;
+        return n;
+    }
+    int total() const { return count(reading) + count(waiting) + count(streaming); }
+};
+
+struct Request {
+    Arrival a;
+    std::uint64_t serial = 0;
+    Millis arrived = 0;
+    int attempts = 0;
+    bool ended = false;
+    // the attempt out
+    bool out = false, stopped = false;
+    Stage stage = reading;
+    int cls_stage = 0;
+    ServerId server = 0;
+    Millis sent = 0, stage_since = 0;
+    // the read state
+    bool state = false;
+    ServerId reader = 0;
+    // effects
+    bool may_have_run = false;
+    ServerId ran_at = 0;
+    Millis ran_sent = 0;
+};
+
+}  // namespace
+
+class Router::Impl {
+public:
+    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {
+        const auto need = [](bool ok, const char* what) {
+            if (!ok) throw std::invalid_argument(std::string("gorsenotch settings: ") + what);
+        };
+        need(!s_.classes.empty(), "classes: at least one is needed");
+        need(!s_.kinds.empty(), "kinds: each needs a role");
+        bool read = false, write = false;
+        for (const auto& k : s_.kinds) read |= k.role != Role::write, write |= k.role != Role::read;
+        need(write && (read || s_.local_read), "kinds: some must read and some must write");
+        min_aim_ = s_.classes[0].aim;
+        for (const auto& c : s_.classes) {
+            need(c.aim > 0, "classes: aim must be above 0");
+            need(c.deadline > 0, "classes: deadline must be above 0");
+            min_aim_ = std::min(min_aim_, c.aim);
+            max_worth_ = std::max(max_worth_, c.worth);
+            // Until seen: a read takes a quarter of the aim, a wait an eighth, a stream 100 tokens at half
+            // pace.
+            typical_[reading].push_back({c.aim / 4, 1});
+            typical_[waiting].push_back({c.aim / 8, 1});
+            typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim), 1});
+        }
+        need(s_.gateways > 0, "gateways: at least one");
+        need(s_.max_attempts > 0, "max_attempts: at least one");
+        for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
+    }
+
+    void handle(Millis now, const Event& event, std::vector<Action>& actions) {
+        now_ = now;
+        actions_ = &actions;
+        if (!ticking_) {
+            ticking_ = true;
+            act(SetTimer{kTick, now_ + tick()});
+            if (s_.discovery == Discovery::ask) ask();
+        }
+        std::visit([this](const auto& e) { on(e); }, event);
+    }
+
+private:
+    // ---- events ---------------------------------------------------------------------------------------
+
+    void on(const Arrival& a) {
+        if (a.cls < 0 || a.cls >= static_cast<int>(s_.classes.size()) || requests_.count(a.request)) return;
+        Request& r = requests_[a.request];
+        r.a = a;
+        r.arrived = now_;
+        r.serial = ++serial_;
+        by_serial_[r.serial] = a.request;
+        arrivals_.add(now_);
+        prompt_.add(a.prompt_tokens);
+        ++pending_;
+        if (a.deadline <= now_ || shed(r)) return end(r);
+        act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
+        advance(r);
+    }
+
+    void on(const Outcome& o) {
+        Server* server = find(o.server);
+        if (server) hear(*server, o.report);
+        const auto it = requests_.find(o.request);
+        if (it == requests_.end() || !it->second.out || o.attempt != it->second.attempts - 1) return;
+        Request& r = it->second;
+        const bool stopped = r.stopped;
+        if (server) settle(*server, r, o, stopped);
+        leave(r);
+        const bool wrote = !(server && server->role == Role::read);
+        const bool never_ran =
+            o.result == Result::full || o.result == Result::unreachable || o.result == Result::not_sent;
+        if (wrote && !never_ran && o.result != Result::read_done && !r.may_have_run) {
+            r.may_have_run = true, r.ran_at = o.server, r.ran_sent = r.sent;
+        }
+        if (o.result == Result::full && o.note == 1) hold(r, false);
+        if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
+        if (o.closed) close(r);
+        if (r.ended) return finish(r);
+        advance(r);
+    }
+
+    void on(const FirstToken& f) {
+        const auto it = requests_.find(f.request);
+        if (it == requests_.end() || !it->second.out || f.attempt != it->second.attempts - 1) return;
+        Request& r = it->second;
+        if (Server* s = find(r.server)) {
+            tally(*s);
+            sample(*s, r, waiting, now_ - r.sent);
+            move(*s, r, streaming);
+        }
+        hold(r, false);
+        firsts_.add(now_);
+        retries_ = std::min(retries_ + kRetryShare, retry_cap());
+        close(r);
+    }
+
+    void on(const PlaceNote&) {}  // places are never held ahead
+
+    void on(const ClientGone& g) {
+        const auto it = requests_.find(g.request);
+        if (it == requests_.end()) return;
+        close(it->second);
+        let_go(it->second);
+    }
+
+    void on(const ListEvent& e) {
+        if (e.form == ListEvent::Form::failed) {
+            asked_ = now_ - s_.ask_within / 2 + 500;  // ask again in half a second
+            return;
+        }
+        if (e.form != ListEvent::Form::changes) {
+            for (auto& [id, s] : servers_) s.entry.mode = Mode::gone;
+        }
+        for (const auto& entry : e.entries) {
+            if (entry.kind < 0 || entry.kind >= static_cast<int>(s_.kinds.size())) continue;
+            auto [it, fresh] = servers_.try_emplace(entry.server);
+            Server& s = it->second;
+            if (fresh) {
+                for (auto& n : s.out) n.resize(s_.classes.size());
+                s.advanced = now_;
+            }
+            // Guards against: a restarted process judged by its past life, and its empty memory taken for
+            // room.
+            if (fresh || entry.started > s.entry.started) {
+                s.suspect = s.was_down = false;
+                s.errors = 0;
+                s.slow = {};
+                s.others = 0, s.heard = -1e18, s.memory_share = -1;
+                if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
+            }
+            s.entry = entry;
+            s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
+        }
+    }
+
+    void on(const ProbeResult& p) {
+        if (Server* s = find(p.server)) hear(*s, p.report);
+    }
+
+    void on(const Due& d) {
+        if (d.label == kTick) return check();
+        const auto it = by_serial_.find(d.label);
+        if (it == by_serial_.end()) return;
+        Request& r = requests_.at(it->second);
+        if (r.ended || (r.out && r.stage == streaming)) return;
+        end(r);
+    }
+
+    // ---- a request's way ------------------------------------------------------------------------------
+
+    // Sends the request to its next stage, or ends it.
+    void advance(Request& r) {
+        if (r.a.deadline <= now_ || r.attempts >= s_.max_attempts) return end(r);
+        if (r.may_have_run && s_.classes[cls(r)].effect == Effect::once) return end(r);
+        // Guards against retry storms: each attempt past the ordinary read and write takes from the budget.
+        if (r.attempts > (r.state ? 1 : 0)) {
+            if (retries_ < 1) return end(r);
+            retries_ -= 1;
+        }
+        Server* to = nullptr;
+        if (!r.state) to = pick_reader(r);
+        const Stage stage = r.state || !to ? waiting : reading;
+        if (!to && (r.state || s_.local_read)) to = pick_writer(r);
+        if (!to) return end(r);
+        send(r, *to, stage);
+    }
+
+    void send(Request& r, Server& s, Stage stage) {
+        tally(s);
+        r.out = true, r.stopped = false, r.stage = stage, r.server = s.entry.server, r.sent = now_;
+        ++r.attempts;
+        ++s.out[stage][cls(r)];
+        if (stage == reading) s.held += r.a.prompt_tokens;
+        s.sends.add(now_);
+        s.recent.push_back(now_);
+        act(Attempt{r.a.request, s.entry.server, limit(r, stage)});
+    }
+
+    // How long to wait for this attempt. Guards against silence: a request at a dead server must still reach
+    // its aim elsewhere. Grows with what is usual now, so that overload does not turn into time-outs.
+    Millis limit(const Request& r, Stage stage) const {
+        const Millis left = r.a.deadline - now_;
+        if (r.attempts >= s_.max_attempts) return left;
+        const Millis usual = 4 * typical_[stage][cls(r)].value;
+        return std::min(left, std::max(usual, 0.5 * aim(r)));
+    }
+
+    // The attempt out is over: takes it off its server's count.
+    void leave(Request& r) {
+        if (Server* s = find(r.server)) {
+            tally(*s);
+            --s->out[r.stage][cls(r)];
+            if (r.stage == reading) s->held -= r.a.prompt_tokens;
+        }
+        r.out = false;
+    }
+
+    void move(Server& s, Request& r, Stage to) {
+        --s.out[r.stage][cls(r)];
+        if (r.stage == reading) s.held -= r.a.prompt_tokens;
+        r.stage = to;
+        ++s.out[to][cls(r)];
+        r.stage_since = now_;
+    }
+
+    void hold(Request& r, bool held) {
+        if (r.state == held) return;
+        r.state = held;
+        if (Server* s = find(r.reader)) s->held += held ? r.a.prompt_tokens : -r.a.prompt_tokens;
+    }
+
+    // Gives the one final answer, at once.
+    void end(Request& r) {
+        if (r.ended) return;
+        const ClassSettings& c = s_.classes[cls(r)];
+        bool wrote = r.may_have_run;
+        if (r.out && !(find(r.server) && find(r.server)->role == Role::read)) wrote = true;
+        const bool harmless =
+            c.effect == Effect::repeatable || !wrote || (c.effect == Effect::by_key && c.group == Group::all);
+        const bool out_now = r.out && c.effect == Effect::once;
+        if (harmless && !out_now) {
+            act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait()) : 0});
+        } else {
+            act(Fail{r.a.request});
+        }
+        close(r);
+        let_go(r);
+    }
+
+    void close(Request& r) {
+        if (r.ended) return;
+        r.ended = true;
+        --pending_;
+    }
+
+    // An ended request: stop what is out, release what is held.
+    void let_go(Request& r) {
+        if (r.out) {
+            if (s_.cancel && !r.stopped && r.stage != streaming) stop(r);
+            return;
+        }
+        finish(r);
+    }
+
+    void finish(Request& r) {
+        if (r.state) act(DropState{r.a.request});
+        hold(r, false);
+        by_serial_.erase(r.serial);
+        requests_.erase(RequestId(r.a.request));
+    }
+
+    void stop(Request& r) {
+        r.stopped = true;
+        act(StopAttempt{r.a.request, r.attempts - 1});
+    }
+
+    // ---- the three rules ------------------------------------------------------------------------------
+
+    Server* pick_reader(Request& r) {
+        Server* writer = nullptr;
+        std::vector<Server*> fit;
+        for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
+            for (auto& [id, s] : servers_) {
+                if (s.role == Role::read && usable(s, r, strict)) fit.push_back(&s);
+            }
+            // Rule 3: a mixed server that reads also writes, so it is asked when it has room and the writer
+            // that would be picked has none, or when no plain reader is there.
+            if (!writer) writer = pick_writer(r);
+            const bool no_room = !writer || !has_room(*writer);
+            if (!fit.empty() && !no_room) continue;
+            for (auto& [id, s] : servers_) {
+                if (s.role == Role::both && usable(s, r, strict) && (fit.empty() || has_room(s)))
+                    fit.push_back(&s);
+            }
+        }
+        if (fit.empty()) return nullptr;
+        double known = 0, heard = 0;
+        for (Server* s : fit) {
+            if (now_ - s->heard < kRateSpan) known += s->others / memory(*s), ++heard;
+        }
+        std::vector<double> load;
+        double least = 1e18;
+        for (Server* s : fit) {
+            const bool fresh = now_ - s->heard < kRateSpan;
+            const double others = fresh ? s->others / memory(*s) : heard > 0 ? known / heard : 0;
+            load.push_back(others + s->held / memory(*s));
+            least = std::min(least, load.back());
+        }
+        const double margin = 2 * prompt_.value / memory(*fit[0]);
+        std::vector<Server*> near;
+        bool own_zone = false;
+        for (std::size_t i = 0; i < fit.size(); ++i) {
+            if (load[i] > least + margin) continue;
+            near.push_back(fit[i]);
+            own_zone |= fit[i]->entry.zone == s_.own_zone;
+        }
+        if (own_zone) std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
+        for (std::uint64_t key : {r.a.session, r.a.prefix}) {
+            if (!key) continue;
+            Server* home = nullptr;
+            std::uint64_t best = 0;
+            for (auto& [id, s] : servers_) {
+                if (!s.reads() || s.entry.mode != Mode::healthy) continue;
+                if (own_zone && s.entry.zone != s_.own_zone) continue;
+                const auto h = mix(key, id);
+                if (!home || h > best) home = &s, best = h;
+            }
+            if (std::find(near.begin(), near.end(), home) != near.end()) return home;
+        }
+        Server* pick = nullptr;
+        for (std::size_t i = 0; i < fit.size(); ++i) {
+            if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
+            if (!pick || load[i] < least) pick = fit[i], least = load[i];
+        }
+        return pick;
+    }
+
+    Server* pick_writer(const Request& r) {
+        std::vector<std::pair<int, Server*>> fit;
+        const Server* reader = r.state ? find(r.reader) : nullptr;
+        for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
+            for (auto& [id, s] : servers_) {
+                if (!s.writes() || !usable(s, r, strict)) continue;
+                if (strict && (!has_room(s) || now_ < s.full_until)) continue;
+                int queued = s.count(waiting) + s.count(reading);
+                if (!strict) queued += young(s);
+                fit.push_back({queued, &s});
+            }
+        }
+        if (fit.empty()) return nullptr;
+        int least = fit[0].first;
+        for (const auto& [n, s] : fit) least = std::min(least, n);
+        std::vector<std::pair<std::array<double, 3>, Server*>> near;
+        for (const auto& [n, s] : fit) {
+            if (n > least + 1) continue;
+            const bool apart = reader && s->entry.cell != reader->entry.cell;
+            near.push_back({{apart ? 1.0 : 0.0, static_cast<double>(s->count(streaming)), uniform()}, s});
+        }
+        return std::min_element(near.begin(), near.end(),
+                                [](const auto& a, const auto& b) { return a.first < b.first; })
+            ->second;
+    }
+
+    // Own streams at the server that have made fewer than the quantum's tokens, at the wanted pace.
+    int young(const Server& s) const {
+        int n = 0;
+        for (const auto& [id, r] : requests_) {
+            if (!r.out || r.stage != streaming || r.server != s.entry.server) continue;
+            n += now_ - r.stage_since < kQuantum * s_.classes[cls(r)].token_aim;
+        }
+        return n;
+    }
+
+    // ---- guards ---------------------------------------------------------------------------------------
+
+    bool usable(Server& s, const Request& r, bool strict) {
+        if (s.entry.mode != Mode::healthy) return false;
+        if (!cold_room(s)) return false;
+        if (r.may_have_run && s_.classes[cls(r)].effect == Effect::by_key && s.writes()) {
+            const ClassSettings& c = s_.classes[cls(r)];
+            const Server* ran = find(r.ran_at);
+            if (!ran || now_ - r.ran_sent >= c.window) return false;
+            if (c.group == Group::zone && ran->entry.zone != s.entry.zone) return false;
+            if (c.group == Group::cell && ran->entry.cell != s.entry.cell) return false;
+        }
+        if (!strict || !s.suspect) return true;
+        return now_ >= s.retry_at && s.total() < s.allow;
+    }
+
+    bool has_room(const Server& s) const { return s.memory_share < kNearFull; }
+
+    // Guards against a cold server being pushed over, by this gateway's part of the budget. Own sends to warm
+    // peers already are this gateway's part of their load, so no further division by the gateways is needed.
+    bool cold_room(Server& s) {
+        if (now_ - s.cold_since >= s_.warm_within) return true;
+        while (!s.recent.empty() && s.recent.front() <= now_ - s_.fall_window) s.recent.pop_front();
+        double sum = 0;
+        int peers = 0;
+        for (const auto& [id, p] : servers_) {
+            if (p.role != s.role || p.entry.mode != Mode::healthy || p.suspect) continue;
+            if (now_ - p.cold_since < s_.warm_within) continue;
+            sum += p.sends.read(now_), ++peers;
+        }
+        double& usual = usual_rate_[static_cast<std::size_t>(s.role)];
+        if (peers) usual = sum / peers;
+        const double age = (now_ - s.cold_since) / s_.warm_within;
+        const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
+        const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
+        return static_cast<double>(s.recent.size()) + 1 <= std::max(1.0, share * usual * s_.fall_window);
+    }
+
+    void hear(Server& s, const LoadReport& report) {
+        if (report.memory_share < 0) return;
+        s.memory_share = report.memory_share;
+        s.heard = now_;
+        s.others = std::max(0.0, report.memory_share * memory(s) - s.held);
+    }
+
+    double memory(const Server& s) const {
+        const double m = s_.kinds[static_cast<std::size_t>(s.entry.kind)].memory_tokens;
+        return std::max(1.0, m) * (s.entry.weight > 0 ? s.entry.weight : 1);
+    }
+
+    // Judges a server by the outcome of an attempt.
+    void settle(Server& s, Request& r, const Outcome& o, bool stopped) {
+        const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
+        switch (o.result) {
+            case Result::served:
+            case Result::read_done:
+                if (o.result == Result::read_done) sample(s, r, reading, now_ - r.sent);
+                if (r.stage == streaming) sample(s, r, streaming, now_ - r.stage_since);
+                s.errors *= 1 - kErrorStep;
+                if (!early && s.suspect) {
+                    if (s.was_down) s.cold_since = now_, s.was_down = false;
+                    s.allow *= 2;
+                    if (s.allow > kTrusted) s.suspect = false, s.pause = 0;
+                }
+                return;
+            case Result::unreachable:
+            case Result::reset:
+                s.was_down = true;
+                if (!early) doubt(s);
+                return;
+            case Result::full:
+                if (o.note != 1) s.full_until = now_ + typical_[waiting][cls(r)].value;
+                return;
+            case Result::late:
+                if (r.stage == reading)
+                    s.ghosts.push_back({now_ + (now_ - r.sent), r.a.prompt_tokens}),
+                        s.held += r.a.prompt_tokens;
+                if (stopped || early) return;
+                s.errors += kErrorStep * (1 - s.errors);
+                if (s.suspect || s.errors > kErrorFlag) doubt(s);
+                return;
+            case Result::error:
+                if (early) return;
+                s.errors += kErrorStep * (1 - s.errors);
+                if (s.suspect || s.errors > kErrorFlag) doubt(s);
+                return;
+            case Result::cancelled:
+                if (r.stage == reading)
+                    s.ghosts.push_back({now_ + (now_ - r.sent), r.a.prompt_tokens}),
+                        s.held += r.a.prompt_tokens;
+                return;
+            case Result::not_sent:
+                return;
+        }
+    }
+
+    // A suspect gets nothing for a while, then one request at a time, doubling with each success.
+    void doubt(Server& s) {
+        s.pause = std::clamp(2 * s.pause, min_aim_, 8 * min_aim_);
+        s.suspect = true;
+        s.suspected = now_;
+        s.retry_at = now_ + s.pause;
+        s.allow = 1;
+        s.errors = 0;
+        s.slow = {};
+    }
+
+    // Adds a finished stage to what is usual, and takes it from the server's evidence of slowness.
+    void sample(Server& s, const Request& r, Stage stage, Millis took) {
+        tally(s);
+        s.slow[stage] = std::max(0.0, s.slow[stage] - std::log(kSlowFactor));
+        if (!s.suspect) typical_[stage][cls(r)].add(std::max(1.0, took));
+    }
+
+    // Sequential test of a server against its peers: work that is out counts for slowness as it ages, each
+    // completion against it. Covers silence, slow machines and stalled streams alike.
+    void tally(Server& s) {
+        const Millis dt = now_ - s.advanced;
+        s.advanced = now_;
+        while (!s.ghosts.empty() && s.ghosts.front().first <= now_) {
+            s.held -= s.ghosts.front().second;
+            s.ghosts.pop_front();
+        }
+        if (dt <= 0) return;
+        for (int stage = 0; stage < 3; ++stage) {
+            double expected = 0;
+            for (std::size_t c = 0; c < s_.classes.size(); ++c)
+                expected += s.out[static_cast<std::size_t>(stage)][c] * dt / typical_[stage][c].value;
+            double& e = s.slow[static_cast<std::size_t>(stage)];
+            e = std::min(2 * kSlowEvidence, e + expected * (1 - 1 / kSlowFactor));
+        }
+    }
+
+    void check() {
+        act(SetTimer{kTick, now_ + tick()});
+        if (s_.discovery == Discovery::ask && now_ - asked_ > s_.ask_within / 2) ask();
+        for (auto& [id, s] : servers_) tally(s);
+        std::vector<Server*> slow;
+        for (auto& [id, s] : servers_) {
+            for (std::size_t stage = 0; stage < 3; ++stage) {
+                if (s.slow[stage] < kSlowEvidence) continue;
+                // Overload makes all slow: only a minority may be flagged.
+                int peers = 0, bad = 0;
+                for (const auto& [pid, p] : servers_) {
+                    if (p.role != s.role || p.entry.mode != Mode::healthy) continue;
+                    ++peers;
+                    bad += p.suspect || p.slow[stage] >= kSlowEvidence / 2;
+                }
+                if (2 * bad > peers) continue;
+                slow.push_back(&s);
+                break;
+            }
+        }
+        for (Server* s : slow) {
+            doubt(*s);
+            rescue(*s);
+        }
+    }
+
+    // Takes own requests off a server that has become slow or silent, within the retry budget.
+    void rescue(Server& s) {
+        for (auto& [id, r] : requests_) {
+            if (!r.out || r.stopped || r.server != s.entry.server || retries_ < 1) continue;
+            if (r.stage == streaming && s_.resume) {
+                retries_ -= 1;
+                r.stopped = true;
+                act(MoveStream{id});
+            } else if (r.stage != streaming && s_.cancel && !r.ended && r.attempts < s_.max_attempts - 1) {
+                stop(r);
+            }
+        }
+    }
+
+    // Expected wait for a first token by Little's law over own requests.
+    Millis wait() const {
+        const double rate = firsts_.read(now_);
+        if (rate * kRateSpan < 4) return 0;
+        return pending_ / rate;
+    }
+
+    // Sheds what earns least first: as the wait nears the aim, over-share tenants, then cheap classes.
+    bool shed(const Request& r) {
+        double value = s_.classes[cls(r)].worth / max_worth_;
+        const auto t = static_cast<std::size_t>(r.a.tenant);
+        if (r.a.tenant >= 0 && t < quota_left_.size() && s_.tenants[t].quota_per_s > 0) {
+            const double gain = s_.tenants[t].quota_per_s / s_.gateways / 1000;
+            quota_left_[t] = std::min(burst(s_.tenants[t]), quota_left_[t] + gain * (now_ - quota_at_[t]));
+            quota_at_[t] = now_;
+            if (quota_left_[t] >= 1) {
+                quota_left_[t] -= 1;
+            } else {
+                value *= s_.over_share_worth;
+            }
+        }
+        if (r.a.resumed) return false;
+        return wait() > aim(r) * (0.4 + 0.5 * value);
+    }
+
+    double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
+    double retry_cap() const { return std::max(10.0, 2000 * arrivals_.read(now_)); }
+
+    // ---- small helpers --------------------------------------------------------------------------------
+
+    std::size_t cls(const Request& r) const { return static_cast<std::size_t>(r.a.cls); }
+    Millis aim(const Request& r) const {
+        const ClassSettings& c = s_.classes[cls(r)];
+        return c.aim + c.aim_per_1000 * r.a.prompt_tokens / 1000;
+    }
+    Millis tick() const { return std::max(s_.step, min_aim_ / 20); }
+    Server* find(ServerId id) {
+        const auto it = servers_.find(id);
+        return it == servers_.end() ? nullptr : &it->second;
+    }
+    double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+    void ask() {
+        asked_ = now_;
+        act(Subscribe{});
+    }
+    void act(Action a) { actions_->push_back(std::move(a)); }
+
+    const Settings s_;
+    std::mt19937_64 random_;
+    Millis now_ = 0;
+    std::vector<Action>* actions_ = nullptr;
+    bool ticking_ = false;
+    Millis asked_ = 0, min_aim_ = 0;
+    double max_worth_ = 1e-9;
+    std::map<ServerId, Server> servers_;
+    std::map<RequestId, Request> requests_;
+    std::map<std::uint64_t, RequestId> by_serial_;
+    std::uint64_t serial_ = 0;
+    int pending_ = 0;  // without a final answer or a first token
+    double retries_ = 10;
+    Rate arrivals_, firsts_;
+    Mean prompt_;
+    std::array<std::vector<Mean>, 3> typical_;
+    std::array<double, 3> usual_rate_{};
+    std::vector<double> quota_left_;
+    std::map<std::size_t, Millis> quota_at_;
+};
+
+Router::Router(const Settings& settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(settings, seed)) {}
+Router::~Router() = default;
+Router::Router(Router&&) noexcept = default;
+Router& Router::operator=(Router&&) noexcept = default;
+
+void Router::handle(Millis now, const Event& event, std::vector<Action>& actions) {
+    impl_->handle(now, event, actions);
+}
+
+}  // namespace gorsenotch
