--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -22,7 +22,8 @@
 constexpr double kQuantum = 500;     // tokens; the paper's quantum, for streams that are still young
 constexpr double kTrusted = 16;      // requests out at once that end a suspect's slow start
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
-constexpr double kRetryShare = 0.2;  // further attempts for each first token: the retry budget
+constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
+constexpr double kUsualSpan = 6000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
 constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
 
@@ -45,6 +46,14 @@
     }
 };
 
+// How long a stage usually takes: time spent in it over completions, both fading, so that what is still out
+// counts too and a fresh start is not fooled by the short ones ending first. Fades to a prior.
+struct Usual {
+    double prior = 1, spent = 0, ended = 0;
+    double value() const { return (spent + 2 * prior) / (ended + 2); }
+    void fade(double keep) { spent *= keep, ended *= keep; }
+};
+
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
     std::uint64_t x = a * 0x9E3779B97F4A7C15ULL + b;
     x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
@@ -57,8 +66,9 @@
     Role role = Role::both;
     Millis cold_since = -1e18;  // when it last started, as listed or as concluded from a return
     // own load
-    std::array<std::vector<int>, 3> out;           // attempts out by stage and class
-    double held = 0;                               // tokens of own reads and waiting states, ghosts included
+    std::array<std::vector<int>, 3> out;  // attempts out by stage and class
+    double to_read = 0;  // own reads out, in thousands of tokens not expected to be kept there
+    double held = 0;     // tokens of own reads and waiting states, ghosts included
     std::deque<std::pair<Millis, double>> ghosts;  // given up on, but perhaps still worked at: until, tokens
     // reports
     double others = 0;  // tokens held for others by the latest report
@@ -67,7 +77,6 @@
     // health
     double errors = 0;
     std::array<double, 3> slow{};  // evidence of slowness by stage
-    Millis advanced = 0;
     bool suspect = false, was_down = false;
     Millis retry_at = 0, pause = 0, suspected = 0;
     double allow = 0;  // requests out at once while suspect
@@ -90,13 +99,15 @@
     std::uint64_t serial = 0;
     Millis arrived = 0;
     int attempts = 0;
-    bool ended = false;
+    bool ended = false;  // nothing more is owed: the stream has begun, or a final answer is out
+    bool final = false;  // a final answer is out
     // the attempt out
     bool out = false, stopped = false;
     Stage stage = reading;
     int cls_stage = 0;
     ServerId server = 0;
     Millis sent = 0, stage_since = 0;
+    double units = 1;  // what the stage is measured in: thousands of tokens to read, hinted length, or 1
     // the read state
     bool state = false;
     ServerId reader = 0;
@@ -125,11 +136,11 @@
             need(c.deadline > 0, "classes: deadline must be above 0");
             min_aim_ = std::min(min_aim_, c.aim);
             max_worth_ = std::max(max_worth_, c.worth);
-            // Until seen: a read takes a quarter of the aim, a wait an eighth, a stream 100 tokens at half
+            // Until seen: a read takes a sixth of the aim, a wait half that, a stream 100 tokens at half
             // pace.
-            typical_[reading].push_back({c.aim / 4, 1});
-            typical_[waiting].push_back({c.aim / 8, 1});
-            typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim), 1});
+            typical_[reading].push_back({c.aim / 6});
+            typical_[waiting].push_back({c.aim / 12});
+            typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
         }
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
@@ -141,6 +152,7 @@
         actions_ = &actions;
         if (!ticking_) {
             ticking_ = true;
+            checked_ = now_;
             act(SetTimer{kTick, now_ + tick()});
             if (s_.discovery == Discovery::ask) ask();
         }
@@ -173,6 +185,8 @@
         Request& r = it->second;
         const bool stopped = r.stopped;
         if (server) settle(*server, r, o, stopped);
+        // A stream that was called off just as it began, and after all is still owed an answer.
+        if (!o.closed && r.stage == streaming && r.ended && !r.final) r.ended = false, ++pending_;
         leave(r);
         const bool wrote = !(server && server->role == Role::read);
         const bool never_ran =
@@ -192,12 +206,10 @@
         if (it == requests_.end() || !it->second.out || f.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
         if (Server* s = find(r.server)) {
-            tally(*s);
-            sample(*s, r, waiting, now_ - r.sent);
+            sample(*s, r, waiting);
             move(*s, r, streaming);
         }
         hold(r, false);
-        firsts_.add(now_);
         retries_ = std::min(retries_ + kRetryShare, retry_cap());
         close(r);
     }
@@ -225,7 +237,6 @@
             Server& s = it->second;
             if (fresh) {
                 for (auto& n : s.out) n.resize(s_.classes.size());
-                s.advanced = now_;
             }
             // Guards against: a restarted process judged by its past life, and its empty memory taken for
             // room.
@@ -274,11 +285,15 @@
     }
 
     void send(Request& r, Server& s, Stage stage) {
-        tally(s);
         r.out = true, r.stopped = false, r.stage = stage, r.server = s.entry.server, r.sent = now_;
         ++r.attempts;
         ++s.out[stage][cls(r)];
-        if (stage == reading) s.held += r.a.prompt_tokens;
+        r.units = 1;
+        if (stage == reading) {
+            s.held += r.a.prompt_tokens, s.to_read += fresh(r);
+            r.units = s.to_read;
+            units_.add(r.units);
+        }
         s.sends.add(now_);
         s.recent.push_back(now_);
         act(Attempt{r.a.request, s.entry.server, limit(r, stage)});
@@ -286,27 +301,27 @@
 
     // How long to wait for this attempt. Guards against silence: a request at a dead server must still reach
     // its aim elsewhere. Grows with what is usual now, so that overload does not turn into time-outs.
-    Millis limit(const Request& r, Stage stage) const {
+    Millis limit(const Request& r, Stage stage) {
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
-        const Millis usual = 4 * typical_[stage][cls(r)].value;
-        return std::min(left, std::max(usual, 0.5 * aim(r)));
+        return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
     }
 
     // The attempt out is over: takes it off its server's count.
     void leave(Request& r) {
         if (Server* s = find(r.server)) {
-            tally(*s);
             --s->out[r.stage][cls(r)];
-            if (r.stage == reading) s->held -= r.a.prompt_tokens;
+            if (r.stage == reading) s->held -= r.a.prompt_tokens, s->to_read -= fresh(r);
         }
         r.out = false;
     }
 
     void move(Server& s, Request& r, Stage to) {
         --s.out[r.stage][cls(r)];
-        if (r.stage == reading) s.held -= r.a.prompt_tokens;
+        if (r.stage == reading) s.held -= r.a.prompt_tokens, s.to_read -= fresh(r);
         r.stage = to;
+        const double pace = s_.classes[cls(r)].token_aim;
+        r.units = r.a.length_hint > 0 && pace > 0 ? std::clamp(r.a.length_hint / pace / 100, 0.3, 3.0) : 1;
         ++s.out[to][cls(r)];
         r.stage_since = now_;
     }
@@ -327,10 +342,11 @@
             c.effect == Effect::repeatable || !wrote || (c.effect == Effect::by_key && c.group == Group::all);
         const bool out_now = r.out && c.effect == Effect::once;
         if (harmless && !out_now) {
-            act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait()) : 0});
+            act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait(r)) : 0});
         } else {
             act(Fail{r.a.request});
         }
+        r.final = true;
         close(r);
         let_go(r);
     }
@@ -515,8 +531,8 @@
         switch (o.result) {
             case Result::served:
             case Result::read_done:
-                if (o.result == Result::read_done) sample(s, r, reading, now_ - r.sent);
-                if (r.stage == streaming) sample(s, r, streaming, now_ - r.stage_since);
+                if (o.result == Result::read_done) sample(s, r, reading);
+                if (r.stage == streaming) sample(s, r, streaming);
                 s.errors *= 1 - kErrorStep;
                 if (!early && s.suspect) {
                     if (s.was_down) s.cold_since = now_, s.was_down = false;
@@ -530,7 +546,7 @@
                 if (!early) doubt(s);
                 return;
             case Result::full:
-                if (o.note != 1) s.full_until = now_ + typical_[waiting][cls(r)].value;
+                if (o.note != 1) s.full_until = now_ + typical_[waiting][cls(r)].value();
                 return;
             case Result::late:
                 if (r.stage == reading)
@@ -566,40 +582,47 @@
         s.slow = {};
     }
 
-    // Adds a finished stage to what is usual, and takes it from the server's evidence of slowness.
-    void sample(Server& s, const Request& r, Stage stage, Millis took) {
-        tally(s);
+    // A finished stage speaks against its server being slow.
+    void sample(Server& s, const Request& r, Stage stage) {
         s.slow[stage] = std::max(0.0, s.slow[stage] - std::log(kSlowFactor));
-        if (!s.suspect) typical_[stage][cls(r)].add(std::max(1.0, took));
-    }
-
-    // Sequential test of a server against its peers: work that is out counts for slowness as it ages, each
-    // completion against it. Covers silence, slow machines and stalled streams alike.
-    void tally(Server& s) {
-        const Millis dt = now_ - s.advanced;
-        s.advanced = now_;
-        while (!s.ghosts.empty() && s.ghosts.front().first <= now_) {
-            s.held -= s.ghosts.front().second;
-            s.ghosts.pop_front();
-        }
-        if (dt <= 0) return;
-        for (int stage = 0; stage < 3; ++stage) {
-            double expected = 0;
-            for (std::size_t c = 0; c < s_.classes.size(); ++c)
-                expected += s.out[static_cast<std::size_t>(stage)][c] * dt / typical_[stage][c].value;
-            double& e = s.slow[static_cast<std::size_t>(stage)];
-            e = std::min(2 * kSlowEvidence, e + expected * (1 - 1 / kSlowFactor));
-        }
+        if (!s.suspect) usual(stage, r).ended += 1;
     }
 
+    // Sequential test of each server against its peers: work that is out speaks for slowness as it ages, each
+    // completion against it. Covers silence, slow machines and stalled streams alike. May do harm when a few
+    // long answers meet on one server: then it is left for a while without need.
     void check() {
         act(SetTimer{kTick, now_ + tick()});
         if (s_.discovery == Discovery::ask && now_ - asked_ > s_.ask_within / 2) ask();
-        for (auto& [id, s] : servers_) tally(s);
+        const Millis dt = now_ - checked_;
+        checked_ = now_;
+        std::map<ServerId, bool> harmed;  // by work that has waited long, measured by its aim
+        for (auto& [id, r] : requests_) {
+            Server* s = r.out && !r.stopped ? find(r.server) : nullptr;
+            if (!s) continue;
+            const Millis expects = expected(r, r.stage);
+            const Millis age = now_ - (r.stage == streaming ? r.stage_since : r.sent);
+            // What is out long past the usual tells of a long answer, no longer of its server.
+            if (age < 3 * expects || r.stage != streaming) {
+                double& e = s->slow[r.stage];
+                e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
+            }
+            if (!s->suspect) usual(r.stage, r).spent += dt / r.units;
+            if (r.stage == streaming || age > 0.4 * aim(r)) harmed[r.server] = true;
+        }
+        for (auto& stage : typical_) {
+            for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan));
+        }
+        for (auto& [id, s] : servers_) {
+            while (!s.ghosts.empty() && s.ghosts.front().first <= now_) {
+                s.held -= s.ghosts.front().second;
+                s.ghosts.pop_front();
+            }
+        }
         std::vector<Server*> slow;
         for (auto& [id, s] : servers_) {
             for (std::size_t stage = 0; stage < 3; ++stage) {
-                if (s.slow[stage] < kSlowEvidence) continue;
+                if (s.slow[stage] < kSlowEvidence || !harmed.count(id)) continue;
                 // Overload makes all slow: only a minority may be flagged.
                 int peers = 0, bad = 0;
                 for (const auto& [pid, p] : servers_) {
@@ -632,11 +655,9 @@
         }
     }
 
-    // Expected wait for a first token by Little's law over own requests.
-    Millis wait() const {
-        const double rate = firsts_.read(now_);
-        if (rate * kRateSpan < 4) return 0;
-        return pending_ / rate;
+    // The wait for a first token that is usual now.
+    Millis wait(const Request& r) {
+        return usual(reading, r).value() * std::max(units_.value, fresh(r)) + usual(waiting, r).value();
     }
 
     // Sheds what earns least first: as the wait nears the aim, over-share tenants, then cheap classes.
@@ -654,14 +675,21 @@
             }
         }
         if (r.a.resumed) return false;
-        return wait() > aim(r) * (0.4 + 0.5 * value);
+        return wait(r) > aim(r) * (0.4 + 0.5 * value);
     }
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
-    double retry_cap() const { return std::max(10.0, 2000 * arrivals_.read(now_)); }
+    double retry_cap() const { return std::max(10.0, 3000 * arrivals_.read(now_)); }
 
     // ---- small helpers --------------------------------------------------------------------------------
 
+    // Thousands of tokens that a read must work through: all but the shared beginning, and a little for
+    // itself.
+    static double fresh(const Request& r) {
+        return 0.2 + std::max(0.0, r.a.prompt_tokens - r.a.prefix_tokens) / 1000;
+    }
+    Usual& usual(Stage stage, const Request& r) { return typical_[stage][stage == reading ? 0 : cls(r)]; }
+    Millis expected(const Request& r, Stage stage) { return usual(stage, r).value() * r.units; }
     std::size_t cls(const Request& r) const { return static_cast<std::size_t>(r.a.cls); }
     Millis aim(const Request& r) const {
         const ClassSettings& c = s_.classes[cls(r)];
@@ -684,7 +712,7 @@
     Millis now_ = 0;
     std::vector<Action>* actions_ = nullptr;
     bool ticking_ = false;
-    Millis asked_ = 0, min_aim_ = 0;
+    Millis asked_ = 0, checked_ = 0, min_aim_ = 0;
     double max_worth_ = 1e-9;
     std::map<ServerId, Server> servers_;
     std::map<RequestId, Request> requests_;
@@ -692,9 +720,9 @@
     std::uint64_t serial_ = 0;
     int pending_ = 0;  // without a final answer or a first token
     double retries_ = 10;
-    Rate arrivals_, firsts_;
-    Mean prompt_;
-    std::array<std::vector<Mean>, 3> typical_;
+    Rate arrivals_;
+    Mean prompt_, units_;
+    std::array<std::vector<Usual>, 3> typical_;
     std::array<double, 3> usual_rate_{};
     std::vector<double> quota_left_;
     std::map<std::size_t, Millis> quota_at_;
