Usual times per place in queue; predicted wait from own queues; slow reads left to end

Cause: the usual wait lagged the load, so shedding went on long after a jam had drained, and re-reads of merely slow reads wasted readers.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -23,7 +23,7 @@
 constexpr double kTrusted = 16;      // requests out at once that end a suspect's slow start
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
-constexpr double kUsualSpan = 6000;  // ms over which the usual times fade
+constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
 constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
 
@@ -47,11 +47,19 @@
 };
 
 // How long a stage usually takes: time spent in it over completions, both fading, so that what is still out
-// counts too and a fresh start is not fooled by the short ones ending first. Fades to a prior.
+// counts too and a fresh start is not fooled by the short ones ending first. Fades to
+// what was usual for long, and that to a prior. Measured per unit of queue (see units), so that it tells the
+// servers' pace and not the load.
 struct Usual {
-    double prior = 1, spent = 0, ended = 0;
-    double value() const { return (spent + 2 * prior) / (ended + 2); }
-    void fade(double keep) { spent *= keep, ended *= keep; }
+    double prior = 1, spent = 0, ended = 0, long_spent = 0, long_ended = 0;
+    double slow() const { return (long_spent + 2 * prior) / (long_ended + 2); }  // over ten times as long
+    double value() const { return (spent + 2 * slow()) / (ended + 2); }
+    void fade(double keep, double long_keep) {
+        spent *= keep, ended *= keep;
+        long_spent *= long_keep, long_ended *= long_keep;
+    }
+    void out(double time) { spent += time, long_spent += time; }
+    void end() { ++ended, ++long_ended; }
 };
 
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
@@ -80,7 +88,7 @@
     bool suspect = false, was_down = false;
     Millis retry_at = 0, pause = 0, suspected = 0;
     double allow = 0;  // requests out at once while suspect
-    Millis full_until = -1e18;
+    Millis full_until = -1e18, answered = -1e18;
     Rate sends;
     std::deque<Millis> recent;  // sends within the fall window, kept while cold
 
@@ -107,7 +115,8 @@
     int cls_stage = 0;
     ServerId server = 0;
     Millis sent = 0, stage_since = 0;
-    double units = 1;  // what the stage is measured in: thousands of tokens to read, hinted length, or 1
+    double units =
+        1;  // queue at the send: thousands of tokens to read, sends waiting; for a stream its hinted length
     // the read state
     bool state = false;
     ServerId reader = 0;
@@ -288,11 +297,10 @@
         r.out = true, r.stopped = false, r.stage = stage, r.server = s.entry.server, r.sent = now_;
         ++r.attempts;
         ++s.out[stage][cls(r)];
-        r.units = 1;
+        r.units = s.count(waiting);  // this one counted
         if (stage == reading) {
             s.held += r.a.prompt_tokens, s.to_read += fresh(r);
             r.units = s.to_read;
-            units_.add(r.units);
         }
         s.sends.add(now_);
         s.recent.push_back(now_);
@@ -531,6 +539,7 @@
         switch (o.result) {
             case Result::served:
             case Result::read_done:
+                s.answered = now_;
                 if (o.result == Result::read_done) sample(s, r, reading);
                 if (r.stage == streaming) sample(s, r, streaming);
                 s.errors *= 1 - kErrorStep;
@@ -585,7 +594,7 @@
     // A finished stage speaks against its server being slow.
     void sample(Server& s, const Request& r, Stage stage) {
         s.slow[stage] = std::max(0.0, s.slow[stage] - std::log(kSlowFactor));
-        if (!s.suspect) usual(stage, r).ended += 1;
+        if (!s.suspect) usual(stage, r).end();
     }
 
     // Sequential test of each server against its peers: work that is out speaks for slowness as it ages, each
@@ -607,11 +616,11 @@
                 double& e = s->slow[r.stage];
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
-            if (!s->suspect) usual(r.stage, r).spent += dt / r.units;
-            if (r.stage == streaming || age > 0.4 * aim(r)) harmed[r.server] = true;
+            if (!s->suspect) usual(r.stage, r).out(dt / r.units);
+            if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server] = true;
         }
         for (auto& stage : typical_) {
-            for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan));
+            for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan), std::exp(-dt / kUsualSpan / 10));
         }
         for (auto& [id, s] : servers_) {
             while (!s.ghosts.empty() && s.ghosts.front().first <= now_) {
@@ -645,6 +654,8 @@
     void rescue(Server& s) {
         for (auto& [id, r] : requests_) {
             if (!r.out || r.stopped || r.server != s.entry.server || retries_ < 1) continue;
+            // A slow read is left to end, as its work would be lost; a silent one is not.
+            if (r.stage == reading && s.answered >= r.sent) continue;
             if (r.stage == streaming && s_.resume) {
                 retries_ -= 1;
                 r.stopped = true;
@@ -655,9 +666,17 @@
         }
     }
 
-    // The wait for a first token that is usual now.
+    // The wait for a first token that is to be expected now, behind the shortest own queues.
     Millis wait(const Request& r) {
-        return usual(reading, r).value() * std::max(units_.value, fresh(r)) + usual(waiting, r).value();
+        double to_read = 1e18, sends = 1e18;
+        for (auto& [id, s] : servers_) {
+            if (!usable(s, r, true)) continue;
+            if (s.reads()) to_read = std::min(to_read, s.to_read);
+            if (s.writes()) sends = std::min(sends, 1.0 * s.count(waiting));
+        }
+        if (to_read > 1e17) to_read = 0;
+        if (sends > 1e17) sends = 0;
+        return usual(reading, r).value() * (to_read + fresh(r)) + usual(waiting, r).value() * (sends + 1);
     }
 
     // Sheds what earns least first: as the wait nears the aim, over-share tenants, then cheap classes.
@@ -679,7 +698,7 @@
     }
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
-    double retry_cap() const { return std::max(10.0, 3000 * arrivals_.read(now_)); }
+    double retry_cap() const { return std::max(20.0, 6000 * arrivals_.read(now_)); }
 
     // ---- small helpers --------------------------------------------------------------------------------
 
@@ -719,9 +738,9 @@
     std::map<std::uint64_t, RequestId> by_serial_;
     std::uint64_t serial_ = 0;
     int pending_ = 0;  // without a final answer or a first token
-    double retries_ = 10;
+    double retries_ = 20;
     Rate arrivals_;
-    Mean prompt_, units_;
+    Mean prompt_;
     std::array<std::vector<Usual>, 3> typical_;
     std::array<double, 3> usual_rate_{};
     std::vector<double> quota_left_;
