--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -145,9 +145,9 @@
             need(c.deadline > 0, "classes: deadline must be above 0");
             min_aim_ = std::min(min_aim_, c.aim);
             max_worth_ = std::max(max_worth_, c.worth);
-            // Until seen: a read takes a sixth of the aim, a wait half that, a stream 100 tokens at half
-            // pace.
-            typical_[reading].push_back({c.aim / 6});
+            // Until seen: 1,000 tokens are read in what the aim grows by, a wait takes a twelfth of the aim,
+            // a stream 100 tokens at half pace.
+            typical_[reading].push_back({c.aim_per_1000 > 0 ? c.aim_per_1000 : c.aim / 20});
             typical_[waiting].push_back({c.aim / 12});
             typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
         }
@@ -207,6 +207,9 @@
         if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
         if (o.closed) close(r);
         if (r.ended) return finish(r);
+        // Guards against pinned states: a read whose end was lost, or a state whose reader is only cut off,
+        // may still stand there though this gateway heard of none.
+        if (!r.state) act(DropState{r.a.request});
         advance(r);
     }
 
@@ -344,12 +347,10 @@
     void end(Request& r) {
         if (r.ended) return;
         const ClassSettings& c = s_.classes[cls(r)];
-        bool wrote = r.may_have_run;
-        if (r.out && !(find(r.server) && find(r.server)->role == Role::read)) wrote = true;
-        const bool harmless =
-            c.effect == Effect::repeatable || !wrote || (c.effect == Effect::by_key && c.group == Group::all);
-        const bool out_now = r.out && c.effect == Effect::once;
-        if (harmless && !out_now) {
+        // An attempt still out, a read too, may count as run.
+        const bool harmless = c.effect == Effect::repeatable || !(r.may_have_run || r.out) ||
+                              (c.effect == Effect::by_key && c.group == Group::all);
+        if (harmless) {
             act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait(r)) : 0});
         } else {
             act(Fail{r.a.request});
@@ -375,7 +376,7 @@
     }
 
     void finish(Request& r) {
-        if (r.state) act(DropState{r.a.request});
+        if (r.attempts > 0 && r.stage != streaming) act(DropState{r.a.request});
         hold(r, false);
         by_serial_.erase(r.serial);
         requests_.erase(RequestId(r.a.request));
@@ -388,6 +389,13 @@
 
     // ---- the three rules ------------------------------------------------------------------------------
 
+    template <class Key>
+    static Server* least_of(const std::vector<std::pair<Key, Server*>>& from) {
+        return std::min_element(from.begin(), from.end(),
+                                [](const auto& a, const auto& b) { return a.first < b.first; })
+            ->second;
+    }
+
     Server* pick_reader(Request& r) {
         Server* writer = nullptr;
         std::vector<Server*> fit;
@@ -439,12 +447,12 @@
             }
             if (std::find(near.begin(), near.end(), home) != near.end()) return home;
         }
-        Server* pick = nullptr;
+        std::vector<std::pair<std::pair<double, double>, Server*>> last;  // no home is near: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
             if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
-            if (!pick || load[i] < least) pick = fit[i], least = load[i];
+            last.push_back({{load[i], uniform()}, fit[i]});
         }
-        return pick;
+        return least_of(last);
     }
 
     Server* pick_writer(const Request& r) {
@@ -468,9 +476,7 @@
             const bool apart = reader && s->entry.cell != reader->entry.cell;
             near.push_back({{apart ? 1.0 : 0.0, static_cast<double>(s->count(streaming)), uniform()}, s});
         }
-        return std::min_element(near.begin(), near.end(),
-                                [](const auto& a, const auto& b) { return a.first < b.first; })
-            ->second;
+        return least_of(near);
     }
 
     // Own streams at the server that have made fewer than the quantum's tokens, at the wanted pace.
@@ -676,6 +682,7 @@
         }
         if (to_read > 1e17) to_read = 0;
         if (sends > 1e17) sends = 0;
+        if (to_read + sends <= 0) return 0;  // nothing is ahead of it, whatever it takes
         return usual(reading, r).value() * (to_read + fresh(r)) + usual(waiting, r).value() * (sends + 1);
     }
 
--- /dev/null
+++ b/tests/checker.cpp
@@ -0,0 +1,242 @@
+#include "checker.h"
+
+#include <algorithm>
+
+namespace gorsenotch::test {
+
+int Checker::out(const Request& r) const {
+    return static_cast<int>(
+        std::count_if(r.tries.begin(), r.tries.end(), [](const Try& t) { return t.out; }));
+}
+
+void Checker::breach(Millis now, const std::string& what) {
+    breaches.push_back(std::to_string(now) + ": " + what);
+}
+
+Role Checker::role(ServerId server) const {
+    return s_.kinds[static_cast<std::size_t>(servers_.at(server).entry.kind)].role;
+}
+
+void Checker::event(Millis now, const Event& event) {
+    if (const auto* e = std::get_if<Arrival>(&event)) {
+        requests_[e->request].a = *e;
+    } else if (const auto* g = std::get_if<ClientGone>(&event)) {
+        if (const auto it = requests_.find(g->request); it != requests_.end()) it->second.ended = true;
+    } else if (const auto* f = std::get_if<FirstToken>(&event)) {
+        Request& r = requests_.at(f->request);
+        r.ended = r.begun = true;
+        r.state = r.place = false;
+    } else if (const auto* o = std::get_if<Outcome>(&event)) {
+        Request& r = requests_.at(o->request);
+        Try& t = r.tries.at(static_cast<std::size_t>(o->attempt));
+        t.out = false;
+        t.proven_not_run = t.reader || o->result == Result::full || o->result == Result::unreachable ||
+                           o->result == Result::not_sent;
+        if (o->result == Result::read_done) r.state = true;
+        if (o->result == Result::full && o->note == 1) r.state = false;
+        if (o->result == Result::served) r.state = r.place = false;
+        if (o->closed) r.ended = true;
+        r.pinned_since = now;
+    } else if (const auto* l = std::get_if<ListEvent>(&event)) {
+        if (l->form == ListEvent::Form::failed) return;
+        if (l->form != ListEvent::Form::changes) {
+            for (auto& [id, s] : servers_) s.entry.mode = Mode::gone;
+        }
+        for (const auto& entry : l->entries) servers_[entry.server].entry = entry;
+        for (auto& [id, s] : servers_) {
+            if (s.entry.mode == Mode::healthy) {
+                s.told_gone = -1;
+            } else if (s.told_gone < 0) {
+                s.told_gone = now;
+            }
+        }
+    }
+}
+
+void Checker::send(Millis now, Request& r, ServerId server) {
+    if (!servers_.count(server)) return breach(now, "unknown server");
+    Server& s = servers_[server];
+    if (s.told_gone >= 0 && now > s.told_gone + s_.drain_grace)
+        breach(now, "drain: sent to a server that is gone");
+    if (s_.warm_within > 0 && s.entry.started > 0 && now - s.entry.started < s_.warm_within) {
+        s.sends.push_back(now);
+        while (s.sends.front() <= now - s_.fall_window) s.sends.pop_front();
+    }
+    (void)r;
+}
+
+void Checker::action(Millis now, const Action& action) {
+    if (const auto* a = std::get_if<Attempt>(&action)) {
+        const auto it = requests_.find(a->request);
+        if (it == requests_.end()) return breach(now, "lost: attempt for an unknown request");
+        Request& r = it->second;
+        if (r.ended) breach(now, "lost: attempt after the end");
+        send(now, r, a->server);
+        if (!servers_.count(a->server)) return;
+        if (out(r) > 0 && !s_.second_copies) breach(now, "twice: two attempts out");
+        const ClassSettings& c = s_.classes[static_cast<std::size_t>(r.a.cls)];
+        const ServerEntry& to = servers_.at(a->server).entry;
+        for (const Try& t : r.tries) {
+            if (t.proven_not_run) continue;
+            if (c.effect == Effect::once) breach(now, "twice: a once request sent again");
+            if (c.effect != Effect::by_key || role(a->server) == Role::read) continue;
+            const ServerEntry& ran = servers_.at(t.server).entry;
+            if (now - t.sent > c.window) breach(now, "twice: sent again after the window");
+            if (c.group == Group::zone && ran.zone != to.zone) breach(now, "twice: sent to another zone");
+            if (c.group == Group::cell && ran.cell != to.cell) breach(now, "twice: sent to another cell");
+        }
+        Try t;
+        t.server = a->server, t.sent = now, t.reader = role(a->server) == Role::read;
+        r.tries.push_back(t);
+        // More than the budget of the guaranteed start share, counted against what warm servers of the role
+        // get is for the guards' own tests; here a flood is enough: more sends in a window than any peer's.
+        if (servers_.at(a->server).sends.size() > 1) {
+            std::size_t most = 0;
+            for (const auto& [id, n] : window_counts(now)) {
+                if (id != a->server) most = std::max(most, n);
+            }
+            const double allowed =
+                std::max(1.0, s_.fall_multiple * s_.start_capacity * static_cast<double>(most) + 1);
+            if (static_cast<double>(servers_.at(a->server).sends.size()) > allowed)
+                breach(now, "cold: pushed over");
+        }
+        all_sends_[a->server].push_back(now);
+    } else if (const auto* h = std::get_if<HoldPlace>(&action)) {
+        Request& r = requests_.at(h->request);
+        if (!s_.hold_ahead) breach(now, "place held where that is forbidden");
+        r.place = true;
+        r.pinned_since = now;
+        send(now, r, h->server);
+    } else if (const auto* d = std::get_if<DropState>(&action)) {
+        if (const auto it = requests_.find(d->request); it != requests_.end()) {
+            it->second.state = it->second.place = false;
+        }
+    } else if (const auto* f = std::get_if<Fail>(&action)) {
+        end(now, f->request, false);
+    } else if (const auto* e = std::get_if<Refuse>(&action)) {
+        end(now, e->request, true);
+    } else if (std::get_if<StopAttempt>(&action)) {
+        if (!s_.cancel) breach(now, "attempt stopped where that is forbidden");
+    } else if (std::get_if<Probe>(&action)) {
+        if (!s_.probes) breach(now, "probe where that is forbidden");
+    }
+}
+
+void Checker::end(Millis now, const RequestId& id, bool refusal) {
+    const auto it = requests_.find(id);
+    if (it == requests_.end()) return breach(now, "lost: answer for an unknown request");
+    Request& r = it->second;
+    if (r.ended) return breach(now, "lost: a second final answer");
+    r.ended = true;
+    if (now > r.a.deadline + s_.answer_slack && r.a.deadline > 0) breach(now, "lost: answered too late");
+    const ClassSettings& c = s_.classes[static_cast<std::size_t>(r.a.cls)];
+    if (!refusal || c.effect == Effect::repeatable) return;
+    for (const Try& t : r.tries) {
+        if (t.proven_not_run || (t.reader && !t.out)) continue;
+        if (c.effect == Effect::once) breach(now, "twice: a once request refused that may have run");
+        if (c.effect == Effect::by_key && c.group != Group::all)
+            breach(now, "twice: a keyed request refused");
+    }
+}
+
+std::map<ServerId, std::size_t> Checker::window_counts(Millis now) {
+    std::map<ServerId, std::size_t> counts;
+    for (auto& [id, sends] : all_sends_) {
+        while (!sends.empty() && sends.front() <= now - s_.fall_window) sends.pop_front();
+        const auto& e = servers_.at(id).entry;
+        if (e.started > 0 && now - e.started < s_.warm_within) continue;
+        counts[id] = sends.size();
+    }
+    return counts;
+}
+
+void Checker::time(Millis now) {
+    for (auto& [id, r] : requests_) {
+        if (!r.ended && now > r.a.deadline + s_.answer_slack) {
+            breach(now, "lost: no answer in time for " + id);
+            r.ended = true;
+        }
+        if ((r.state || r.place) && out(r) == 0 && now > r.pinned_since + s_.let_go_within) {
+            breach(now, "pinned: state or place held for " + id);
+            r.state = r.place = false;
+        }
+    }
+}
+
+const std::vector<Action>& Bench::feed(Millis now, const Event& event) {
+    checker.time(now);
+    checker.event(now, event);
+    actions.clear();
+    router.handle(now, event, actions);
+    for (const auto& a : actions) {
+        checker.action(now, a);
+        if (const auto* t = std::get_if<SetTimer>(&a)) timers.emplace(t->at, t->label);
+    }
+    return actions;
+}
+
+void Bench::run_to(Millis now) {
+    std::vector<Action> gathered;
+    while (!timers.empty() && timers.begin()->first <= now) {
+        const auto [at, label] = *timers.begin();
+        timers.erase(timers.begin());
+        feed(at, Due{label});
+        gathered.insert(gathered.end(), actions.begin(), actions.end());
+    }
+    checker.time(now);
+    actions = std::move(gathered);
+}
+
+Settings plain_settings() {
+    Settings s;
+    ClassSettings c;
+    c.aim = 1000, c.deadline = 5000, c.worth = 3, c.token_aim = 60;
+    s.classes = {c, c};
+    s.classes[1].worth = 1;
+    s.kinds = {{Role::read, 100000}, {Role::write, 100000}, {Role::both, 100000}};
+    s.zones = 2;
+    s.gateways = 2;
+    s.max_attempts = 6;
+    s.cancel = true;
+    s.resume = true;
+    s.answer_slack = 16;
+    s.drain_grace = 250;
+    s.let_go_within = 500;
+    s.fall_multiple = 2.5;
+    s.fall_window = 2000;
+    s.start_capacity = 0.3;
+    s.warm_within = 10000;
+    s.step = 4;
+    return s;
+}
+
+ListEvent list(const std::vector<ServerEntry>& entries) { return {ListEvent::Form::full, entries}; }
+
+ServerEntry reader(ServerId id, int zone) {
+    ServerEntry e;
+    e.server = id, e.zone = zone, e.kind = 0, e.cell = static_cast<std::uint64_t>(zone);
+    return e;
+}
+
+ServerEntry writer(ServerId id, int zone) {
+    ServerEntry e = reader(id, zone);
+    e.kind = 1;
+    return e;
+}
+
+Arrival arrival(const RequestId& id, Millis now, double prompt) {
+    Arrival a;
+    a.request = id;
+    a.deadline = now + 5000;
+    a.prompt_tokens = prompt;
+    a.max_tokens = 300;
+    return a;
+}
+
+Outcome outcome(const RequestId& id, int attempt, ServerId server, Result result, bool closed) {
+    Outcome o;
+    o.request = id, o.attempt = attempt, o.server = server, o.result = result, o.closed = closed;
+    return o;
+}
+
+}  // namespace gorsenotch::test
--- /dev/null
+++ b/tests/checker.h
@@ -0,0 +1,87 @@
+// Watches the events that go into a Router and the actions that come out, and notes every breach of the five
+// rules. It models no servers: what an attempt does is up to the test.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gorsenotch/logic.h"
+
+namespace gorsenotch::test {
+
+class Checker {
+public:
+    explicit Checker(const Settings& settings) : s_(settings) {}
+
+    void event(Millis now, const Event& event);
+    void action(Millis now, const Action& action);
+    void time(Millis now);  // notes what has become overdue
+
+    std::vector<std::string> breaches;
+
+private:
+    struct Try {
+        ServerId server = 0;
+        Millis sent = 0;
+        bool out = true, proven_not_run = false, reader = false;
+    };
+    struct Request {
+        Arrival a;
+        bool ended = false, begun = false, state = false, place = false;
+        Millis pinned_since = 0;
+        std::vector<Try> tries;
+    };
+    struct Server {
+        ServerEntry entry;
+        Millis told_gone = -1;
+        std::deque<Millis> sends;
+    };
+    int out(const Request& r) const;
+    void breach(Millis now, const std::string& what);
+    void send(Millis now, Request& r, ServerId server);
+    void end(Millis now, const RequestId& id, bool refusal);
+    Role role(ServerId server) const;
+    std::map<ServerId, std::size_t> window_counts(Millis now);  // sends to warm servers in the fall window
+
+    Settings s_;
+    std::map<RequestId, Request> requests_;
+    std::map<ServerId, Server> servers_;
+    std::map<ServerId, std::deque<Millis>> all_sends_;
+};
+
+// A Router under the checker, with the actions of the latest event at hand.
+class Bench {
+public:
+    explicit Bench(const Settings& s, std::uint64_t seed = 1) : settings(s), checker(s), router(s, seed) {}
+
+    const std::vector<Action>& feed(Millis now, const Event& event);
+    // Delivers all timers up to `now`; the actions gather in `actions`.
+    void run_to(Millis now);
+
+    template <class T>
+    std::vector<T> all() const {
+        std::vector<T> found;
+        for (const auto& a : actions) {
+            if (const T* t = std::get_if<T>(&a)) found.push_back(*t);
+        }
+        return found;
+    }
+
+    Settings settings;
+    Checker checker;
+    Router router;
+    std::vector<Action> actions;
+    std::multimap<Millis, std::uint64_t> timers;
+};
+
+// Two readers (1, 2), two writers (11, 12), two zones and cells; every class repeatable.
+Settings plain_settings();
+ListEvent list(const std::vector<ServerEntry>& entries);
+ServerEntry reader(ServerId id, int zone = 0);
+ServerEntry writer(ServerId id, int zone = 0);
+Arrival arrival(const RequestId& id, Millis now, double prompt = 1000);
+Outcome outcome(const RequestId& id, int attempt, ServerId server, Result result, bool closed = false);
+
+}  // namespace gorsenotch::test
--- /dev/null
+++ b/tests/guards_test.cpp
@@ -0,0 +1,307 @@
+// One test for each failure found, and for each guard's symptom.
+#include <gtest/gtest.h>
+
+#include "checker.h"
+
+namespace gorsenotch::test {
+namespace {
+
+class Guards : public ::testing::Test {
+protected:
+    void start(Settings s, const std::vector<ServerEntry>& servers) {
+        bench = std::make_unique<Bench>(s);
+        bench->feed(0, list(servers));
+    }
+    ServerId read_at(const RequestId& id, Millis now) {
+        bench->feed(now, arrival(id, now));
+        const auto a = bench->all<Attempt>();
+        return a.empty() ? 0 : a[0].server;
+    }
+    // Takes a request through read and stream, `pace` ms a stage, wherever the Router sends it.
+    ServerId serve(const RequestId& id, Millis now) {
+        const ServerId r = read_at(id, now);
+        if (!r) return 0;
+        bench->feed(now + 5, outcome(id, 0, r, Result::read_done));
+        const auto a = bench->all<Attempt>();
+        if (a.empty()) return r;
+        bench->feed(now + 8, FirstToken{id, 1, a[0].server, 3});
+        bench->feed(now + 9, outcome(id, 1, a[0].server, Result::served, true));
+        return r;
+    }
+    void TearDown() override { EXPECT_EQ(bench->checker.breaches, std::vector<std::string>{}); }
+    std::unique_ptr<Bench> bench;
+};
+
+TEST_F(Guards, AnUnreachableServerIsLeftAtOnce) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    const ServerId dead = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, dead, Result::unreachable));
+    EXPECT_NE(bench->all<Attempt>().at(0).server, dead);
+    for (int i = 0; i < 10; ++i) EXPECT_NE(read_at("r" + std::to_string(i), 30 + i), dead);
+}
+
+TEST_F(Guards, AQuicklyFailingServerDoesNotAttractLoad) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    int at_bad = 0;
+    for (int i = 0; i < 20; ++i) {
+        const RequestId id = "r" + std::to_string(i);
+        const Millis now = 10 + 5 * i;
+        ServerId to = read_at(id, now);
+        int attempt = 0;
+        while (to == 1) {
+            ++at_bad;
+            bench->feed(now + 1, outcome(id, attempt++, 1, Result::error));
+            const auto a = bench->all<Attempt>();
+            to = a.empty() ? 0 : a[0].server;
+        }
+        if (to) bench->feed(now + 2, outcome(id, attempt, to, Result::read_done));
+        bench->feed(now + 3, ClientGone{id});
+    }
+    EXPECT_LE(at_bad, 8);
+}
+
+TEST_F(Guards, ASilentReaderIsFoundByWorkStillOutAndItsRequestsMoveOn) {
+    start(plain_settings(), {reader(1), reader(2), reader(3), writer(11)});
+    for (int i = 0; i < 40; ++i) serve("w" + std::to_string(i), 10 + 20 * i);
+    const ServerId silent = read_at("stuck", 900);
+    bench->run_to(1600);  // within the aim of a second
+    const auto stops = bench->all<StopAttempt>();
+    ASSERT_EQ(stops.size(), 1u);
+    bench->feed(1601, outcome("stuck", 0, silent, Result::cancelled));
+    ASSERT_EQ(bench->all<Attempt>().size(), 1u);
+    EXPECT_NE(bench->all<Attempt>()[0].server, silent);
+}
+
+TEST_F(Guards, StreamsLeaveASilentWriter) {
+    start(plain_settings(), {reader(1), writer(11), writer(12), writer(13), writer(14)});
+    // A request every 50 ms with streams of 800 ms; from 5 s on those at writer 11 never end.
+    std::multimap<Millis, RequestId> ends;
+    std::map<RequestId, ServerId> where;
+    int moved_well = 0, moved_silent = 0, late = 0;
+    for (int i = 0; i < 240; ++i) {
+        const Millis now = 50.0 * (i + 1);
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const RequestId id = ends.begin()->second;
+            ends.erase(ends.begin());
+            if (where.count(id)) bench->feed(now - 1, outcome(id, 1, where[id], Result::served, true));
+            where.erase(id);
+        }
+        bench->run_to(now);
+        for (const auto& m : bench->all<MoveStream>()) {
+            ++(where[m.request] == 11 ? moved_silent : moved_well);
+            bench->feed(now, outcome(m.request, 1, where[m.request], Result::cancelled, true));
+            where.erase(m.request);
+        }
+        const RequestId id = "s" + std::to_string(i);
+        if (!read_at(id, now)) continue;
+        bench->feed(now + 1, outcome(id, 0, 1, Result::read_done));
+        const auto a = bench->all<Attempt>();
+        if (a.empty()) continue;
+        bench->feed(now + 2, FirstToken{id, 1, a[0].server, 1});
+        where[id] = a[0].server;
+        if (now > 9000) late += a[0].server == 11;
+        if (a[0].server != 11 || now < 4000) ends.emplace(now + 800, id);
+    }
+    EXPECT_GT(moved_silent, 0);
+    EXPECT_EQ(moved_well, 0);
+    EXPECT_LE(late, 3);
+}
+
+TEST_F(Guards, OverloadDoesNotFlagTheFleet) {
+    start(plain_settings(), {reader(1), reader(2), reader(3), reader(4), writer(11)});
+    for (int i = 0; i < 40; ++i) serve("w" + std::to_string(i), 10 + 20 * i);
+    for (int i = 0; i < 8; ++i) read_at("slow" + std::to_string(i), 900);
+    bench->run_to(1400);
+    // All four are equally silent: at most half of them may be given up on.
+    EXPECT_LE(bench->all<StopAttempt>().size(), 4u);
+}
+
+TEST_F(Guards, ASuspectComesBackByATrickle) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    ServerId dead = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, dead, Result::reset));
+    const Millis later = 20 + 1000 + 1;  // the least pause is the shortest aim
+    int back = 0;
+    for (int i = 0; i < 10; ++i) back += read_at("t" + std::to_string(i), later) == dead;
+    EXPECT_EQ(back, 1);
+}
+
+TEST_F(Guards, AColdServerGetsLessThanItsPeers) {
+    std::vector<ServerEntry> servers = {reader(1), reader(2), writer(11)};
+    start(plain_settings(), servers);
+    for (int i = 0; i < 100; ++i) serve("w" + std::to_string(i), 10 + 20 * i);
+    ServerEntry cold = reader(3);
+    cold.started = 2000;
+    bench->feed(2020, ListEvent{ListEvent::Form::changes, {cold}});
+    std::map<ServerId, int> n;
+    for (int i = 0; i < 100; ++i) ++n[serve("c" + std::to_string(i), 2030 + 20 * i)];
+    EXPECT_GT(n[3], 0);
+    EXPECT_LT(n[3], std::max(n[1], n[2]));
+}
+
+TEST_F(Guards, OnlyColdServersStillGetATrickle) {
+    ServerEntry r = reader(1), w = writer(11);
+    r.started = w.started = 1;
+    start(plain_settings(), {r, w});
+    EXPECT_EQ(read_at("a", 10), 1u);
+}
+
+TEST_F(Guards, DrainingServersGetNothing) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    ServerEntry d = reader(1);
+    d.mode = Mode::draining;
+    bench->feed(5, ListEvent{ListEvent::Form::changes, {d}});
+    for (int i = 0; i < 6; ++i) EXPECT_EQ(read_at("a" + std::to_string(i), 10 + i), 2u);
+    bench->feed(20, list({reader(1), writer(11)}));  // 2 is missing from a full list: removed
+    EXPECT_EQ(read_at("z", 30), 1u);
+}
+
+TEST_F(Guards, WithoutServersARequestIsRefusedAtOnce) {
+    start(plain_settings(), {});
+    bench->feed(10, arrival("a", 10));
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+}
+
+TEST_F(Guards, AFullHouseEndsInOneAnswerWithNothingHeld) {
+    start(plain_settings(), {reader(1), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    Millis now = 30;
+    int attempt = 1;
+    while (!bench->all<Attempt>().empty()) bench->feed(now++, outcome("a", attempt++, 11, Result::full));
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+    EXPECT_LE(attempt, 6);
+}
+
+TEST_F(Guards, OddRequestsGetOneAnswer) {
+    start(plain_settings(), {reader(1), writer(11)});
+    bench->feed(10, arrival("empty", 10, 0));
+    EXPECT_EQ(bench->all<Attempt>().size(), 1u);
+    Arrival late = arrival("late", 10);
+    late.deadline = 5;
+    bench->checker.event(10, late);
+    bench->actions.clear();
+    bench->router.handle(10, late, bench->actions);
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    bench->checker.event(10, ClientGone{"late"});
+}
+
+TEST_F(Guards, TheDeadlineEndsARequestAndItsReadIsDropped) {
+    start(plain_settings(), {reader(1), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->run_to(5010);
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    bench->feed(5012, outcome("a", 0, r, Result::read_done));
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+    EXPECT_TRUE(bench->all<Attempt>().empty());
+}
+
+TEST_F(Guards, AGoneClientsStateIsDropped) {
+    start(plain_settings(), {reader(1), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(15, ClientGone{"a"});
+    EXPECT_EQ(bench->all<StopAttempt>().size(), 1u);
+    bench->feed(20, outcome("a", 0, r, Result::read_done, true));
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+}
+
+TEST_F(Guards, AStreamCalledOffAsItBeganIsStillOwedAnAnswer) {
+    start(plain_settings(), {reader(1), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    bench->feed(30, FirstToken{"a", 1, 11, 5});
+    bench->checker.breaches.clear();
+    // The drill of the wire ends such an attempt as cancelled and the request as still open.
+    bench->actions.clear();
+    bench->router.handle(40, outcome("a", 1, 11, Result::cancelled), bench->actions);
+    EXPECT_EQ(bench->all<Attempt>().size() + bench->all<Refuse>().size(), 1u);
+}
+
+TEST_F(Guards, AOnceRequestThatMayHaveRunIsFailedNotRefused) {
+    Settings s = plain_settings();
+    s.classes[0].effect = Effect::once;
+    start(s, {reader(1), writer(11), writer(12)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    const ServerId w = bench->all<Attempt>().at(0).server;
+    bench->feed(30, outcome("a", 1, w, Result::reset));
+    EXPECT_EQ(bench->all<Fail>().size(), 1u);
+    EXPECT_TRUE(bench->all<Attempt>().empty());
+}
+
+TEST_F(Guards, AKeyedRequestStaysInItsGroup) {
+    Settings s = plain_settings();
+    s.classes[0].effect = Effect::by_key;
+    s.classes[0].group = Group::zone;
+    s.classes[0].window = 5000;
+    start(s, {reader(1, 0), writer(11, 0), writer(12, 1), writer(13, 0)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    const ServerId w = bench->all<Attempt>().at(0).server;
+    bench->feed(30, outcome("a", 1, w, Result::reset));
+    EXPECT_EQ(bench->all<Attempt>().at(0).server, w == 11 ? 13u : 11u);
+}
+
+TEST_F(Guards, WhereTheListMustBeAskedForItIs) {
+    Settings s = plain_settings();
+    s.discovery = Discovery::ask;
+    s.ask_within = 10000;
+    start(s, {reader(1), writer(11)});
+    EXPECT_EQ(bench->all<Subscribe>().size(), 1u);
+    bench->feed(100, ListEvent{ListEvent::Form::failed, {}});
+    bench->run_to(1000);
+    EXPECT_EQ(bench->all<Subscribe>().size(), 1u);
+}
+
+TEST_F(Guards, OverloadShedsOverShareTenantsFirst) {
+    Settings s = plain_settings();
+    s.tenants = {{1}, {1000}};
+    s.over_share_worth = 0.05;
+    start(s, {reader(1), writer(11)});
+    int refused[2] = {0, 0};
+    for (int i = 0; i < 26; ++i) {
+        Arrival a = arrival("r" + std::to_string(i), 10 + i);
+        a.tenant = i % 2;
+        bench->feed(10 + i, a);
+        refused[i % 2] += static_cast<int>(bench->all<Refuse>().size());
+    }
+    EXPECT_GT(refused[0], refused[1]);
+}
+
+TEST_F(Guards, UnknownThingsChangeNothing) {
+    start(plain_settings(), {reader(1), writer(11)});
+    bench->actions.clear();
+    bench->router.handle(1, outcome("nobody", 0, 1, Result::served, true), bench->actions);
+    bench->router.handle(1, outcome("nobody", 0, 999, Result::reset), bench->actions);
+    bench->router.handle(1, FirstToken{"nobody", 0, 1, 1}, bench->actions);
+    bench->router.handle(1, PlaceNote{"nobody", 1, true}, bench->actions);
+    bench->router.handle(1, ProbeResult{999, true, 1, {}}, bench->actions);
+    bench->router.handle(1, ClientGone{"nobody"}, bench->actions);
+    bench->router.handle(1, Due{12345}, bench->actions);
+    EXPECT_TRUE(bench->actions.empty());
+}
+
+TEST(Settings, WhatCannotBeMetIsRefusedByName) {
+    const auto why = [](const Settings& s) -> std::string {
+        try {
+            Router r(s, 1);
+        } catch (const std::invalid_argument& e) {
+            return e.what();
+        }
+        return "";
+    };
+    Settings s = plain_settings();
+    s.classes.clear();
+    EXPECT_NE(why(s).find("classes"), std::string::npos);
+    s = plain_settings();
+    s.kinds = {{Role::read, 1000}};
+    EXPECT_NE(why(s).find("kinds"), std::string::npos);
+    s = plain_settings();
+    s.classes[1].aim = 0;
+    EXPECT_NE(why(s).find("aim"), std::string::npos);
+    EXPECT_EQ(why(plain_settings()), "");
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,180 @@
+// The ordinary path: each expected pick is worked out by hand.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "checker.h"
+
+namespace gorsenotch::test {
+namespace {
+
+class Logic : public ::testing::Test {
+protected:
+    void start(const std::vector<ServerEntry>& servers) { bench.feed(0, list(servers)); }
+    // The server that the one attempt among the latest actions goes to, or 0.
+    ServerId sent() const {
+        const auto attempts = bench.all<Attempt>();
+        return attempts.size() == 1 ? attempts[0].server : 0;
+    }
+    ServerId arrive(const RequestId& id, Millis now, double prompt = 1000, std::uint64_t session = 0) {
+        Arrival a = arrival(id, now, prompt);
+        a.session = session;
+        bench.feed(now, a);
+        return sent();
+    }
+    ServerId read_done(const RequestId& id, Millis now, ServerId at) {
+        bench.feed(now, outcome(id, 0, at, Result::read_done));
+        return sent();
+    }
+    void TearDown() override { EXPECT_EQ(bench.checker.breaches, std::vector<std::string>{}); }
+    Bench bench{plain_settings()};
+};
+
+TEST_F(Logic, ReadsGoToTheLeastMemoryHeld) {
+    start({reader(1), reader(2), writer(11)});
+    const ServerId first = arrive("a", 10, 9000);
+    // 9,000 tokens held against none: further apart than two usual prompts (2 x 6,000) no more after this
+    // one.
+    const ServerId second = arrive("b", 11, 9000);
+    const ServerId third = arrive("c", 12, 1000);
+    EXPECT_TRUE(first == 1 || first == 2);
+    EXPECT_NE(second, 0u);
+    EXPECT_NE(third, 0u);
+    // Ten more must not all go to one of the two: held memory evens them out within the margin.
+    std::map<ServerId, int> n;
+    for (int i = 0; i < 10; ++i) ++n[arrive("r" + std::to_string(i), 13 + i, 3000)];
+    EXPECT_GE(n[1], 3);
+    EXPECT_GE(n[2], 3);
+}
+
+TEST_F(Logic, ReportedMemoryDecides) {
+    start({reader(1), reader(2), writer(11)});
+    // Reader 1 tells 50,000 of 100,000 tokens held, reader 2 tells 10,000; two prompts are the margin.
+    for (const ServerId id : {1u, 2u}) {
+        Outcome o = outcome("gone", 0, id, Result::read_done);
+        o.report.memory_share = id == 1 ? 0.5 : 0.1;
+        bench.actions.clear();
+        bench.router.handle(5, o, bench.actions);  // of a request long forgotten: only its report counts
+    }
+    for (int i = 0; i < 4; ++i) EXPECT_EQ(arrive("r" + std::to_string(i), 10 + i), 2u);
+}
+
+TEST_F(Logic, AnUnheardReaderCountsAsAverage) {
+    start({reader(1), reader(2), reader(3), writer(11)});
+    for (const ServerId id : {1u, 2u}) {
+        Outcome o = outcome("gone", 0, id, Result::read_done);
+        o.report.memory_share = id == 1 ? 0.9 : 0.1;
+        bench.actions.clear();
+        bench.router.handle(5, o, bench.actions);
+    }
+    for (int i = 0; i < 4; ++i) EXPECT_EQ(arrive("r" + std::to_string(i), 10 + i), 2u);  // 3 counts as 0.5
+}
+
+TEST_F(Logic, OwnZoneIsPreferredWithinTheMargin) {
+    start({reader(1, 1), reader(2, 0), writer(11)});
+    EXPECT_EQ(arrive("a", 10), 2u);
+}
+
+TEST_F(Logic, ASessionComesBackToItsHome) {
+    start({reader(1), reader(2), reader(3), reader(4), writer(11)});
+    std::set<ServerId> homes;
+    for (std::uint64_t session = 1; session <= 8; ++session) {
+        ServerId first = 0;
+        for (int turn = 0; turn < 3; ++turn) {
+            const RequestId id = "s" + std::to_string(session) + "." + std::to_string(turn);
+            const Millis now = 100.0 * static_cast<double>(session) + 20 * turn;
+            const ServerId at = arrive(id, now, 1000, session);
+            if (!turn) first = at;
+            EXPECT_EQ(at, first);
+            read_done(id, now + 5, at);
+            bench.feed(now + 10, FirstToken{id, 1, 11, 5});
+        }
+        homes.insert(first);
+    }
+    EXPECT_GT(homes.size(), 1u);
+}
+
+TEST_F(Logic, TheWriterIsChosenAfterTheReadByFewestQueued) {
+    start({reader(1), writer(11), writer(12)});
+    std::map<ServerId, int> queued;
+    for (int i = 0; i < 8; ++i) {
+        const RequestId id = "r" + std::to_string(i);
+        arrive(id, 10 + i, 100);
+        ++queued[read_done(id, 20 + i, 1)];
+    }
+    // Within one of the least counts as a tie, so the counts stay within two of each other.
+    EXPECT_LE(std::abs(queued[11] - queued[12]), 2);
+}
+
+TEST_F(Logic, TiesGoToTheReadersCell) {
+    start({reader(1, 0), writer(11, 1), writer(12, 0)});
+    arrive("a", 10);
+    EXPECT_EQ(read_done("a", 20, 1), 12u);
+    arrive("b", 11);
+    EXPECT_EQ(read_done("b", 21, 1), 12u);  // 1 against 0 queued is still within one of the least
+    arrive("c", 12);
+    EXPECT_EQ(read_done("c", 22, 1), 11u);  // 2 against 0 is not
+}
+
+TEST_F(Logic, TiesInACellGoToFewestStreams) {
+    start({reader(1), writer(11), writer(12)});
+    arrive("a", 10);
+    const ServerId first = read_done("a", 20, 1);
+    bench.feed(25, FirstToken{"a", 1, first, 5});
+    arrive("b", 30);
+    EXPECT_EQ(read_done("b", 40, 1), first == 11 ? 12u : 11u);
+}
+
+TEST_F(Logic, ANearlyFullWriterIsSkippedUnlessAllAre) {
+    start({reader(1), writer(11, 0), writer(12, 1)});
+    arrive("a", 10);
+    ASSERT_EQ(read_done("a", 20, 1), 11u);
+    Outcome done = outcome("a", 1, 11, Result::served, true);
+    bench.feed(25, FirstToken{"a", 1, 11, 5});
+    done.report.memory_share = 0.97;
+    bench.feed(30, done);
+    arrive("b", 40);
+    EXPECT_EQ(read_done("b", 50, 1), 12u);  // though 11 is in the reader's cell
+    bench.feed(55, FirstToken{"b", 1, 12, 5});
+    done = outcome("b", 1, 12, Result::served, true);
+    done.report.memory_share = 0.97;
+    bench.feed(60, done);
+    arrive("c", 70);
+    EXPECT_EQ(read_done("c", 80, 1), 11u);  // all skipped, all count: the tie goes to the cell
+}
+
+TEST_F(Logic, AMixedServerReadsWhenThereIsNoPlainReader) {
+    ServerEntry mixed = writer(21);
+    mixed.kind = 2;
+    start({mixed});
+    EXPECT_EQ(arrive("a", 10), 21u);
+}
+
+TEST_F(Logic, AMixedServerKeepsItsStreamWhenThePickLacksRoom) {
+    ServerEntry mixed = writer(21);
+    mixed.kind = 2;
+    start({reader(1), writer(11), mixed});
+    EXPECT_EQ(arrive("a", 10), 1u);  // writer 11 has room: the plain reader
+    const ServerId to = read_done("a", 20, 1);
+    bench.feed(25, FirstToken{"a", 1, to, 5});
+    Outcome done = outcome("a", 1, to, Result::served, true);
+    done.report.memory_share = to == 11 ? 0.97 : 0.1;
+    bench.feed(30, done);
+    if (to == 11) {
+        arrive("b", 40);
+        EXPECT_NE(sent(), 0u);
+    }
+}
+
+TEST_F(Logic, NoPlaceIsHeldAhead) {
+    Settings s = plain_settings();
+    s.hold_ahead = true;
+    Bench b(s);
+    b.feed(0, list({reader(1), writer(11)}));
+    b.feed(10, arrival("a", 10));
+    b.feed(20, outcome("a", 0, 1, Result::read_done));
+    EXPECT_TRUE(b.all<HoldPlace>().empty());
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,254 @@
+// The checker catches a planted breach of each rule, and the Router commits none under random legal events.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "checker.h"
+
+namespace gorsenotch::test {
+namespace {
+
+struct Planted : ::testing::Test {
+    Planted() : s(plain_settings()), c(s) { c.event(0, list({reader(1), writer(11), writer(12, 1)})); }
+    void reading() {
+        c.event(1, arrival("a", 1));
+        c.action(1, Attempt{"a", 1, 0});
+        c.event(2, outcome("a", 0, 1, Result::read_done));
+    }
+    Settings s;
+    Checker c;
+};
+
+TEST_F(Planted, LostRequest) {
+    c.event(1, arrival("a", 1));
+    c.time(5018);
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, SecondAnswer) {
+    c.event(1, arrival("a", 1));
+    c.action(1, Refuse{"a", 0});
+    c.action(1, Fail{"a"});
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, AttemptAfterTheEnd) {
+    c.event(1, arrival("a", 1));
+    c.action(1, Refuse{"a", 0});
+    c.action(1, Attempt{"a", 1, 0});
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, OnceSentTwice) {
+    Settings once = s;
+    once.classes[0].effect = Effect::once;
+    Checker d(once);
+    d.event(0, list({reader(1), writer(11)}));
+    d.event(1, arrival("a", 1));
+    d.action(1, Attempt{"a", 11, 0});
+    d.event(2, outcome("a", 0, 11, Result::reset));
+    d.action(2, Attempt{"a", 11, 0});
+    EXPECT_EQ(d.breaches.size(), 1u);
+}
+
+TEST_F(Planted, KeyedOutsideItsGroup) {
+    Settings keyed = s;
+    keyed.classes[0].effect = Effect::by_key;
+    keyed.classes[0].group = Group::zone;
+    keyed.classes[0].window = 1000;
+    Checker d(keyed);
+    d.event(0, list({writer(11), writer(12, 1)}));
+    d.event(1, arrival("a", 1));
+    d.action(1, Attempt{"a", 11, 0});
+    d.event(2, outcome("a", 0, 11, Result::reset));
+    d.action(2, Attempt{"a", 12, 0});
+    EXPECT_EQ(d.breaches.size(), 1u);
+}
+
+TEST_F(Planted, TwoAtOnce) {
+    c.event(1, arrival("a", 1));
+    c.action(1, Attempt{"a", 1, 0});
+    c.action(1, Attempt{"a", 1, 0});
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, SentToADrainedServer) {
+    ServerEntry d = reader(1);
+    d.mode = Mode::draining;
+    c.event(1, ListEvent{ListEvent::Form::changes, {d}});
+    c.event(300, arrival("a", 300));
+    c.action(300, Attempt{"a", 1, 0});
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, ColdServerFlooded) {
+    ServerEntry cold = reader(2);
+    cold.started = 1;
+    c.event(2, ListEvent{ListEvent::Form::changes, {cold}});
+    for (int i = 0; i < 10; ++i) {
+        const RequestId id = "r" + std::to_string(i);
+        c.event(3, arrival(id, 3));
+        c.action(3, Attempt{id, 2, 0});
+    }
+    EXPECT_GT(c.breaches.size(), 0u);
+}
+
+TEST_F(Planted, StatePinned) {
+    reading();
+    c.time(503);
+    EXPECT_EQ(c.breaches.size(), 1u);
+}
+
+TEST_F(Planted, PlacePinnedAfterRefusal) {
+    Settings ahead = s;
+    ahead.hold_ahead = true;
+    Checker d(ahead);
+    d.event(0, list({writer(11)}));
+    d.event(1, arrival("a", 1));
+    d.action(1, HoldPlace{"a", 11});
+    d.action(1, Refuse{"a", 0});
+    d.time(502);
+    EXPECT_EQ(d.breaches.size(), 1u);
+}
+
+// Random but legal: every result, deaths of this gateway, list changes of every form, late and moot outcomes.
+void run_random(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    const auto dice = [&](int n) { return static_cast<int>(random() % static_cast<std::uint64_t>(n)); };
+    Settings s = plain_settings();
+    s.second_copies = dice(2);
+    s.probes = dice(2);
+    s.local_read = dice(2);
+    s.hold_ahead = dice(2);
+    s.cancel = dice(4) > 0;
+    s.resume = dice(2);
+    s.retry_after = dice(2);
+    s.max_retry_after = 500;
+    s.discovery = dice(2) ? Discovery::ask : Discovery::push;
+    s.ask_within = 10000;
+    s.tenants = {{5}, {5}};
+    for (auto& c : s.classes) {
+        c.effect = static_cast<Effect>(dice(3));
+        c.group = static_cast<Group>(dice(3));
+        c.window = 200 + 1000 * dice(4);
+    }
+    std::vector<ServerEntry> entries;
+    for (ServerId i = 0; i < 4; ++i) entries.push_back(reader(1 + i, dice(2)));
+    for (ServerId i = 0; i < 4; ++i) entries.push_back(writer(11 + i, dice(2)));
+    for (ServerId i = 0; i < static_cast<ServerId>(dice(3)); ++i) {
+        entries.push_back(writer(21 + i, dice(2)));
+        entries.back().kind = 2;
+    }
+    struct Out {
+        RequestId id;
+        int attempt;
+        ServerId server;
+        bool begun = false, reads = false;
+    };
+    auto bench = std::make_unique<Bench>(s, seed);
+    Millis now = 0;
+    std::vector<Out> outs;
+    std::map<RequestId, int> attempts;
+    std::map<RequestId, bool> ended;
+    std::map<RequestId, Arrival> open;
+    int next = 0;
+    const auto take = [&](const std::vector<Action>& actions) {
+        for (const auto& a : actions) {
+            if (const auto* t = std::get_if<Attempt>(&a)) {
+                outs.push_back({t->request, attempts[t->request]++, t->server});
+                for (const auto& e : entries) {
+                    if (e.server == t->server) outs.back().reads = e.kind == 0;
+                }
+            } else if (const auto* r = std::get_if<Refuse>(&a)) {
+                ended[r->request] = true;
+            } else if (const auto* f = std::get_if<Fail>(&a)) {
+                ended[f->request] = true;
+            } else if (const auto* m = std::get_if<MoveStream>(&a)) {
+                ended[m->request] = true;
+            }
+        }
+    };
+    const auto feed = [&](const Event& e) { take(bench->feed(now, e)); };
+    feed(ListEvent{ListEvent::Form::saved, entries});
+    for (int step = 0; step < 1500; ++step) {
+        now += dice(20);
+        bench->run_to(now);
+        take(bench->actions);
+        const int what = dice(100);
+        if (what < 40) {
+            Arrival a = arrival("r" + std::to_string(next++), now, dice(8000));
+            a.cls = dice(2), a.tenant = dice(2);
+            a.session = static_cast<std::uint64_t>(dice(20));
+            a.prefix = static_cast<std::uint64_t>(dice(4));
+            a.deadline = now + dice(6000) + 20;
+            a.resumed = dice(10) == 0;
+            open[a.request] = a;
+            feed(a);
+        } else if (what < 92 && !outs.empty()) {
+            const auto i = static_cast<std::size_t>(dice(static_cast<int>(outs.size())));
+            Out o = outs[i];
+            if (!o.reads && !o.begun && !ended[o.id] && dice(2)) {
+                outs[i].begun = true;
+                ended[o.id] = true;
+                feed(FirstToken{o.id, o.attempt, o.server, 1});
+                continue;
+            }
+            outs.erase(outs.begin() + static_cast<std::ptrdiff_t>(i));
+            static const Result kinds[] = {Result::error,       Result::full,      Result::late,
+                                           Result::unreachable, Result::reset,     Result::cancelled,
+                                           Result::not_sent,    Result::read_done, Result::read_done};
+            Outcome e = outcome(o.id, o.attempt, o.server, kinds[dice(o.reads ? 9 : 7)], ended[o.id]);
+            if (o.begun) e.result = dice(3) ? Result::served : Result::reset;
+            if (e.result == Result::full) e.note = dice(2);
+            e.report.memory_share = dice(3) ? 0.01 * dice(100) : -1;
+            if (!o.reads && !o.begun && !ended[o.id] && dice(8) == 0)
+                e.result = Result::served, e.closed = true;
+            if (e.closed) ended[o.id] = true;
+            feed(e);
+        } else if (what < 95 && next > 0) {
+            const RequestId id = "r" + std::to_string(dice(next));
+            if (!ended[id] && now < open[id].deadline) ended[id] = true, feed(ClientGone{id});
+        } else if (what < 98) {
+            ListEvent e;
+            e.form = dice(3) ? ListEvent::Form::changes : ListEvent::Form::full;
+            if (dice(6) == 0) e.form = ListEvent::Form::failed;
+            for (auto& entry : entries) {
+                if (dice(5) == 0) entry.mode = static_cast<Mode>(dice(3));
+                if (dice(12) == 0) entry.mode = Mode::healthy, entry.started = now - dice(500);
+                if (e.form == ListEvent::Form::failed) continue;
+                if (e.form == ListEvent::Form::full && entry.mode == Mode::gone) continue;
+                e.entries.push_back(entry);
+            }
+            feed(e);
+        } else if (dice(10) == 0) {  // the gateway dies and comes back with its last list
+            ASSERT_EQ(bench->checker.breaches, std::vector<std::string>{}) << "seed " << seed;
+            bench = std::make_unique<Bench>(s, seed + static_cast<std::uint64_t>(step));
+            outs.clear(), attempts.clear(), ended.clear(), open.clear();
+            next = 0;
+            feed(ListEvent{ListEvent::Form::saved, entries});
+        }
+    }
+    // Everything out ends; whatever is still open meets its deadline.
+    while (!outs.empty()) {
+        const Out o = outs.back();
+        outs.pop_back();
+        now += 1;
+        bench->run_to(now);
+        take(bench->actions);
+        Outcome e = outcome(o.id, o.attempt, o.server, Result::late, ended[o.id]);
+        feed(e);
+    }
+    now += 20000;
+    bench->run_to(now);
+    ASSERT_EQ(bench->checker.breaches, std::vector<std::string>{}) << "seed " << seed;
+}
+
+TEST(Property, NoRuleBreaksUnderRandomEvents) {
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        run_random(seed);
+        if (::testing::Test::HasFatalFailure()) return;
+    }
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,69 @@
+#include "wire.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace gorsenotch::drill {
+namespace {
+
+const char* const kInit =
+    "init\tgateway_1\t7\tAzs=near\tFlavors=r,w\tFamilyInfo.RoleByKind=read,write\tLanes.count=1\t"
+    "Lanes.0.Name=talk\tLanes.0.SloMs=1000\tLanes.0.DeadlineMs=5000\tLanes.0.Effect=repeatable\t"
+    "Ceilings.AttemptsCap=4\tUnknown.Key=9\tZone=near\tStepMs=4\n";
+const char* const kList =
+    "snapshot_rows\t0\t2\nm\t5\tnear\tr\t0\thealthy\t1\t-\nm\t6\tnear\tw\t0\thealthy\t1\t-\n"
+    "fleet\tgateway_1\tF\t1\t0\n";
+
+std::string play(const std::string& input) {
+    std::istringstream in(input);
+    std::ostringstream out;
+    Host(in, out).run();
+    return out.str();
+}
+
+std::string refusal(const std::string& input) {
+    try {
+        play(input);
+    } catch (const WireError& e) {
+        return e.what();
+    }
+    return "";
+}
+
+TEST(Wire, AnEmptyBatchIsAnsweredByYield) { EXPECT_EQ(play("clock\t1\nover_to_you\n\n"), "yield\n"); }
+
+TEST(Wire, ARequestIsSentToTheReader) {
+    const std::string reply = play(
+        std::string("clock\t10\n") + kInit + kList +
+        "knock\tgateway_1\tid-1\ttalk\t-\t3\t5010\t-\t-\t100\t0\t50\t0\nsomething_new\tx\nover_to_you\n");
+    EXPECT_NE(reply.find("attempt\tgateway_1\tid-1\t5\t"), std::string::npos);
+    EXPECT_EQ(reply.substr(reply.size() - 6), "yield\n");
+}
+
+TEST(Wire, AKilledInstanceForgets) {
+    const std::string reply =
+        play(std::string("clock\t10\n") + kInit + kList +
+             "killed\tgateway_1\n"
+             "knock\tgateway_1\tid-1\ttalk\t-\t3\t5010\t-\t-\t100\t0\t50\t0\nover_to_you\n");
+    EXPECT_EQ(reply.find("attempt"), std::string::npos);
+}
+
+TEST(Wire, SettingsThatCannotBeMetAreABug) {
+    const std::string reply = play("clock\t1\ninit\tgateway_1\t7\tLanes.count=0\nover_to_you\n");
+    EXPECT_EQ(reply.rfind("bug\tgateway_1\t", 0), 0u);
+}
+
+TEST(Wire, MalformedInputNamesLineAndReason) {
+    EXPECT_EQ(refusal("over_to_you\n").rfind("line 1: ", 0), 0u);
+    EXPECT_NE(refusal("clock\tx\nover_to_you\n").find("bad number 'x'"), std::string::npos);
+    EXPECT_NE(refusal("clock\t1\n").find("input ends inside a batch"), std::string::npos);
+    EXPECT_NE(refusal("clock\t1\nkilled\nover_to_you\n").find("line 2: part 1 is missing"),
+              std::string::npos);
+    EXPECT_NE(
+        refusal("clock\t1\nfleet\tgateway_1\tF\t1\t9\nover_to_you\n").find("list number 9 was never sent"),
+        std::string::npos);
+}
+
+}  // namespace
+}  // namespace gorsenotch::drill
