--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -660,8 +660,9 @@
     void rescue(Server& s) {
         for (auto& [id, r] : requests_) {
             if (!r.out || r.stopped || r.server != s.entry.server || retries_ < 1) continue;
-            // A slow read is left to end, as its work would be lost; a silent one is not.
-            if (r.stage == reading && s.answered >= r.sent) continue;
+            // A slow read is moved only while its aim can be met elsewhere, as its work is lost; a silent one
+            // always.
+            if (r.stage == reading && s.answered >= r.sent && now_ - r.sent > 0.8 * aim(r)) continue;
             if (r.stage == streaming && s_.resume) {
                 retries_ -= 1;
                 r.stopped = true;
