--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -293,6 +293,12 @@
         const Stage stage = r.state || !to ? waiting : reading;
         if (!to && (r.state || s_.local_read)) to = pick_writer(r);
         if (!to) return end(r);
+        // Guards against writers kept busy with late answers, which earn little: when others wait and the aim
+        // is out of reach, the read is given up. May do harm where late answers are worth much.
+        if (r.state && !r.a.resumed && to->count(waiting) > 1 &&
+            now_ - r.arrived + usual(waiting, r).value() * (to->count(waiting) + 1) > aim(r)) {
+            return end(r);
+        }
         send(r, *to, stage);
     }
 
@@ -520,7 +526,8 @@
             sum += p.sends.read(now_), ++peers;
         }
         double& usual = usual_rate_[static_cast<std::size_t>(s.role)];
-        if (peers) usual = sum / peers;
+        // The most that peers carried lately: what they carry now may be little for the same trouble's sake.
+        if (peers) usual = std::max(usual, sum / peers);
         const double age = (now_ - s.cold_since) / s_.warm_within;
         const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
         const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
@@ -625,6 +632,7 @@
             if (!s->suspect) usual(r.stage, r).out(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server] = true;
         }
+        for (double& rate : usual_rate_) rate *= std::exp(-dt / kUsualSpan / 10);
         for (auto& stage : typical_) {
             for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan), std::exp(-dt / kUsualSpan / 10));
         }
@@ -673,18 +681,22 @@
         }
     }
 
-    // The wait for a first token that is to be expected now, behind the shortest own queues.
+    // The wait for a first token that is to be expected now: behind the shortest own read queue, then behind
+    // all own requests still before a stream, those being read among them, as they will join the writers'
+    // queues.
     Millis wait(const Request& r) {
-        double to_read = 1e18, sends = 1e18;
+        double to_read = 1e18, ahead = 0, writers = 0;
         for (auto& [id, s] : servers_) {
+            ahead += s.count(waiting) + s.count(reading);
             if (!usable(s, r, true)) continue;
             if (s.reads()) to_read = std::min(to_read, s.to_read);
-            if (s.writes()) sends = std::min(sends, 1.0 * s.count(waiting));
+            if (s.writes()) ++writers;
         }
         if (to_read > 1e17) to_read = 0;
-        if (sends > 1e17) sends = 0;
-        if (to_read + sends <= 0) return 0;  // nothing is ahead of it, whatever it takes
-        return usual(reading, r).value() * (to_read + fresh(r)) + usual(waiting, r).value() * (sends + 1);
+        if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
+        const Millis write = usual(waiting, r).value();
+        const Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + fresh(r));
+        return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
     // Sheds what earns least first: as the wait nears the aim, over-share tenants, then cheap classes.
