--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -441,18 +441,18 @@
             own_zone |= fit[i]->entry.zone == s_.own_zone;
         }
         if (own_zone) std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
-        for (std::uint64_t key : {r.a.session, r.a.prefix}) {
-            if (!key) continue;
-            Server* home = nullptr;
-            std::uint64_t best = 0;
-            for (auto& [id, s] : servers_) {
-                if (!s.reads() || s.entry.mode != Mode::healthy) continue;
-                if (own_zone && s.entry.zone != s_.own_zone) continue;
-                const auto h = mix(key, id);
-                if (!home || h > best) home = &s, best = h;
-            }
-            if (std::find(near.begin(), near.end(), home) != near.end()) return home;
+        // Sessions that share a beginning share its home, so that few readers keep it and its sessions' texts
+        // meet it there; a session without one has its own home.
+        const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
+        Server* home = nullptr;
+        std::uint64_t best = 0;
+        for (auto& [id, s] : servers_) {
+            if (!key || !s.reads() || s.entry.mode != Mode::healthy) continue;
+            if (own_zone && s.entry.zone != s_.own_zone) continue;
+            const auto h = mix(key, id);
+            if (!home || h > best) home = &s, best = h;
         }
+        if (std::find(near.begin(), near.end(), home) != near.end()) return home;
         std::vector<std::pair<std::pair<double, double>, Server*>> last;  // no home is near: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
             if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
@@ -618,7 +618,7 @@
         if (s_.discovery == Discovery::ask && now_ - asked_ > s_.ask_within / 2) ask();
         const Millis dt = now_ - checked_;
         checked_ = now_;
-        std::map<ServerId, bool> harmed;  // by work that has waited long, measured by its aim
+        std::map<ServerId, std::array<bool, 3>> harmed;  // by work that has waited long, measured by its aim
         for (auto& [id, r] : requests_) {
             Server* s = r.out && !r.stopped ? find(r.server) : nullptr;
             if (!s) continue;
@@ -630,7 +630,7 @@
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
             if (!s->suspect) usual(r.stage, r).out(dt / r.units);
-            if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server] = true;
+            if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         for (double& rate : usual_rate_) rate *= std::exp(-dt / kUsualSpan / 10);
         for (auto& stage : typical_) {
@@ -645,7 +645,7 @@
         std::vector<Server*> slow;
         for (auto& [id, s] : servers_) {
             for (std::size_t stage = 0; stage < 3; ++stage) {
-                if (s.slow[stage] < kSlowEvidence || !harmed.count(id)) continue;
+                if (s.slow[stage] < kSlowEvidence || !harmed[id][stage]) continue;
                 // Overload makes all slow: only a minority may be flagged.
                 int peers = 0, bad = 0;
                 for (const auto& [pid, p] : servers_) {
