--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -22,6 +22,8 @@
 constexpr double kQuantum = 500;     // tokens; the paper's quantum, for streams that are still young
 constexpr double kTrusted = 16;      // requests out at once that end a suspect's slow start
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
+constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
+constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
@@ -432,28 +434,28 @@
             load.push_back(others + s->held / memory(*s));
             least = std::min(least, load.back());
         }
-        const double margin = 2 * prompt_.value / memory(*fit[0]);
+        // A prompt read away from its home is read in full. So the margin grows with what home saves:
+        // otherwise the first jam scatters the beginnings, each read gets longer, and the jam stays.
+        const double saves = std::clamp(r.a.prompt_tokens / (1000 * fresh(r)), kMarginLeast, kMarginMost);
+        const double prompt = prompt_.value / memory(*fit[0]);
+        // The own zone is left sooner: it may have few readers, and there its gateways' reads would jam.
         std::vector<Server*> near;
         bool own_zone = false;
         for (std::size_t i = 0; i < fit.size(); ++i) {
-            if (load[i] > least + margin) continue;
+            if (load[i] > least + saves * prompt) continue;
             near.push_back(fit[i]);
-            own_zone |= fit[i]->entry.zone == s_.own_zone;
+            own_zone |= fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
         }
         if (own_zone) std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
         // Sessions that share a beginning share its home, so that few readers keep it and its sessions' texts
         // meet it there; a session without one has its own home.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
-        Server* home = nullptr;
-        std::uint64_t best = 0;
-        for (auto& [id, s] : servers_) {
-            if (!key || !s.reads() || s.entry.mode != Mode::healthy) continue;
-            if (own_zone && s.entry.zone != s_.own_zone) continue;
-            const auto h = mix(key, id);
-            if (!home || h > best) home = &s, best = h;
+        if (key) {
+            return *std::max_element(near.begin(), near.end(), [key](Server* a, Server* b) {
+                return mix(key, a->entry.server) < mix(key, b->entry.server);
+            });
         }
-        if (std::find(near.begin(), near.end(), home) != near.end()) return home;
-        std::vector<std::pair<std::pair<double, double>, Server*>> last;  // no home is near: the least
+        std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
             if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
             last.push_back({{load[i], uniform()}, fit[i]});
