--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -269,6 +269,69 @@
     EXPECT_GT(refused[0], refused[1]);
 }
 
+TEST_F(Guards, AStateThatIsOnlyCutOffIsLetGo) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    Outcome cut = outcome("a", 1, 11, Result::full);
+    cut.note = 1;  // the writer could not fetch it; it may still stand at the reader
+    bench->feed(30, cut);
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+    EXPECT_EQ(bench->all<Attempt>().size(), 1u);  // and it is read again
+}
+
+TEST_F(Guards, AReadWhoseEndWasLostIsLetGo) {
+    start(plain_settings(), {reader(1), reader(2), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(400, outcome("a", 0, r, Result::reset));
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+}
+
+TEST_F(Guards, ALateStateIsGivenUpWhenOthersWait) {
+    start(plain_settings(), {reader(1), writer(11)});
+    for (int i = 0; i < 3; ++i) {
+        const RequestId id = "w" + std::to_string(i);
+        ASSERT_EQ(read_at(id, 10 + i), 1u);
+        bench->feed(20 + i, outcome(id, 0, 1, Result::read_done));
+    }
+    // Two or more wait at the only writer; this read ends after its aim of a second.
+    ASSERT_EQ(read_at("late", 30), 1u);
+    bench->feed(1100, outcome("late", 0, 1, Result::read_done));
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    EXPECT_EQ(bench->all<DropState>().size(), 1u);
+}
+
+TEST_F(Guards, ALateStateIsServedWhenNobodyWaits) {
+    start(plain_settings(), {reader(1), writer(11)});
+    ASSERT_EQ(read_at("late", 30), 1u);
+    bench->feed(1100, outcome("late", 0, 1, Result::read_done));
+    EXPECT_EQ(bench->all<Attempt>().size(), 1u);
+}
+
+TEST_F(Guards, AStreamDoesNotLetShortWaitsFlagItsWriter) {
+    start(plain_settings(), {reader(1), writer(11), writer(12), writer(13)});
+    // A stream, then a wait at the same writer of well under half the aim.
+    ASSERT_EQ(read_at("s", 1300), 1u);
+    bench->feed(1301, outcome("s", 0, 1, Result::read_done));
+    const ServerId w = bench->all<Attempt>().at(0).server;
+    bench->feed(1302, FirstToken{"s", 1, w, 1});
+    for (int i = 0; i < 3; ++i) {
+        const RequestId id = "x" + std::to_string(i);
+        ASSERT_EQ(read_at(id, 1303 + i), 1u);
+        bench->feed(1310 + i, outcome(id, 0, 1, Result::read_done));
+    }
+    bench->run_to(1700);
+    EXPECT_TRUE(bench->all<MoveStream>().empty());
+}
+
+TEST_F(Guards, ABurstIsShedBeforeItsReadsReachTheWriters) {
+    start(plain_settings(), {reader(1), reader(2), reader(3), reader(4), writer(11)});
+    int refused = 0;
+    for (int i = 0; i < 60; ++i) refused += read_at("b" + std::to_string(i), 10) == 0;
+    EXPECT_GT(refused, 0);  // the reads alone, 15 a reader, would still be in time
+    EXPECT_LT(refused, 55);
+}
+
 TEST_F(Guards, UnknownThingsChangeNothing) {
     start(plain_settings(), {reader(1), writer(11)});
     bench->actions.clear();
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -86,6 +86,27 @@
     EXPECT_GT(homes.size(), 1u);
 }
 
+TEST_F(Logic, SessionsThatShareABeginningShareItsHome) {
+    start({reader(1), reader(2), reader(3), reader(4), writer(11)});
+    std::set<ServerId> homes;
+    for (std::uint64_t session = 1; session <= 4; ++session) {
+        Arrival a = arrival("s" + std::to_string(session), 10, 1000);
+        a.session = session, a.prefix = 77, a.prefix_tokens = 900;
+        bench.feed(10, a);
+        homes.insert(sent());
+    }
+    EXPECT_EQ(homes.size(), 1u);  // 1,000 over 300 to read: a margin of 3.3 prompts
+}
+
+TEST_F(Logic, AnOwnZoneWithFewReadersSpillsOver) {
+    start({reader(1, 0), reader(2, 1), reader(3, 1), writer(11)});
+    std::map<ServerId, int> n;
+    for (int i = 0; i < 12; ++i) ++n[arrive("r" + std::to_string(i), 10)];
+    EXPECT_GE(n[1], 3);  // own zone up to two prompts above the least
+    EXPECT_LE(n[1], 7);
+    EXPECT_GE(n[2] + n[3], 5);
+}
+
 TEST_F(Logic, TheWriterIsChosenAfterTheReadByFewestQueued) {
     start({reader(1), writer(11), writer(12)});
     std::map<ServerId, int> queued;
