--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -183,7 +183,7 @@
         arrivals_.add(now_);
         prompt_.add(a.prompt_tokens);
         ++pending_;
-        if (a.deadline <= now_ || shed(r)) return end(r);
+        if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
     }
@@ -597,7 +597,8 @@
 
     // A suspect gets nothing for a while, then one request at a time, doubling with each success.
     void doubt(Server& s) {
-        s.pause = std::clamp(2 * s.pause, min_aim_, 8 * min_aim_);
+        // A trial of a server that is down costs little, one of a slow server a late answer.
+        s.pause = std::clamp(2 * s.pause, min_aim_, (s.was_down ? 2 : 8) * min_aim_);
         s.suspect = true;
         s.suspected = now_;
         s.retry_at = now_ + s.pause;
@@ -701,6 +702,16 @@
         return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
+    // Guards against reads for nothing while every writer is down: each is tried again by one request at a
+    // time.
+    bool writer_in_reach() const {
+        return std::any_of(servers_.begin(), servers_.end(), [this](const auto& entry) {
+            const Server& s = entry.second;
+            const bool down = s.suspect && s.was_down && (now_ < s.retry_at || s.total() >= s.allow);
+            return s.writes() && s.entry.mode == Mode::healthy && !down;
+        });
+    }
+
     // Sheds what earns least first: as the wait nears the aim, over-share tenants, then cheap classes.
     bool shed(const Request& r) {
         double value = s_.classes[cls(r)].worth / max_worth_;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -332,6 +332,19 @@
     EXPECT_LT(refused, 55);
 }
 
+TEST_F(Guards, NothingIsReadWhileEveryWriterIsDown) {
+    start(plain_settings(), {reader(1), writer(11)});
+    ASSERT_EQ(read_at("a", 10), 1u);
+    bench->feed(20, outcome("a", 0, 1, Result::read_done));
+    int attempt = 1;
+    for (Millis now = 30; !bench->all<Attempt>().empty(); ++now) {
+        bench->feed(now, outcome("a", attempt++, 11, Result::unreachable));
+    }
+    EXPECT_EQ(read_at("b", 100), 0u);
+    EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    EXPECT_EQ(read_at("c", 100 + 2001), 1u);  // the longest pause of a server that is down: two aims
+}
+
 TEST_F(Guards, UnknownThingsChangeNothing) {
     start(plain_settings(), {reader(1), writer(11)});
     bench->actions.clear();
