--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -727,7 +727,7 @@
             }
         }
         if (r.a.resumed) return false;
-        return wait(r) > aim(r) * (0.3 + 0.4 * value);
+        return wait(r) > aim(r) * (0.3 + 0.5 * value);
     }
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
