--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -163,20 +163,33 @@
     EXPECT_EQ(arrive("a", 10), 21u);
 }
 
-TEST_F(Logic, AMixedServerKeepsItsStreamWhenThePickLacksRoom) {
-    ServerEntry mixed = writer(21);
+TEST_F(Logic, AMixedServerWithRoomWritesWhenTheWriterLacksIt) {
+    ServerEntry mixed = writer(21, 1);
     mixed.kind = 2;
     start({reader(1), writer(11), mixed});
-    EXPECT_EQ(arrive("a", 10), 1u);  // writer 11 has room: the plain reader
-    const ServerId to = read_done("a", 20, 1);
-    bench.feed(25, FirstToken{"a", 1, to, 5});
-    Outcome done = outcome("a", 1, to, Result::served, true);
-    done.report.memory_share = to == 11 ? 0.97 : 0.1;
-    bench.feed(30, done);
-    if (to == 11) {
-        arrive("b", 40);
-        EXPECT_NE(sent(), 0u);
+    Outcome full = outcome("gone", 0, 11, Result::served);
+    full.report.memory_share = 0.97;
+    bench.actions.clear();
+    bench.router.handle(5, full, bench.actions);
+    EXPECT_EQ(arrive("a", 10), 1u);
+    EXPECT_EQ(read_done("a", 20, 1), 21u);  // though 11 is in the reader's cell
+}
+
+TEST_F(Logic, WhenAllWritersAreSkippedYoungStreamsCount) {
+    start({reader(1, 0), writer(11, 0), writer(12, 1)});
+    for (const RequestId id : {"a", "b"}) {  // two streams at 11, in the reader's cell
+        arrive(id, 10);
+        ASSERT_EQ(read_done(id, 20, 1), 11u);
+        bench.feed(25, FirstToken{id, 1, 11, 5});
+    }
+    for (const ServerId id : {11u, 12u}) {
+        Outcome full = outcome("gone", 0, id, Result::served);
+        full.report.memory_share = 0.97;
+        bench.actions.clear();
+        bench.router.handle(30, full, bench.actions);
     }
+    arrive("c", 40);
+    EXPECT_EQ(read_done("c", 50, 1), 12u);  // two young streams against none is more than one apart
 }
 
 TEST_F(Logic, NoPlaceIsHeldAhead) {
