Writers dealt over cells by their share of writers against readers

Cause: with many gateways own queues are nearly always empty, so every tie went to the reader's cell and the few writers of a cell full of readers drew all that was read there.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -462,15 +462,47 @@
         if (fit.empty()) return nullptr;
         int least = fit[0].first;
         for (const auto& [n, s] : fit) least = std::min(least, n);
+        const std::uint64_t cell = reader ? deal(*reader, fit) : 0;
         std::vector<std::pair<std::array<double, 3>, Server*>> near;
         for (const auto& [n, s] : fit) {
             if (n > least + 1) continue;
-            const bool apart = reader && s->entry.cell != reader->entry.cell;
+            const bool apart = reader && s->entry.cell != cell;
             near.push_back({{apart ? 1.0 : 0.0, static_cast<double>(s->out[streaming]), uniform()}, s});
         }
         return least_of(near);
     }
 
+    // The cell whose writers come first for a state at this reader: its own, as far as the cell's share of the
+    // writers covers its share of the readers; for the rest a cell with writers to spare. Guards against the
+    // few writers of a cell full of readers drawing all that is read there, which own queues cannot show when
+    // each gateway sends little. May do harm where links between cells are narrow.
+    std::uint64_t deal(const Server& reader, const std::vector<std::pair<int, Server*>>& fit) {
+        std::map<std::uint64_t, double> spare;  // by cell: share of the writers less share of the readers
+        double readers = 0;
+        for (const auto& [id, s] : servers_) readers += counts_as_reader(s);
+        const double write = 1 / static_cast<double>(fit.size()), read = readers > 0 ? 1 / readers : 0;
+        for (const auto& [n, s] : fit) spare[s->entry.cell] += write;
+        const double own = spare[reader.entry.cell];
+        double of_readers = 0;
+        for (const auto& [id, s] : servers_) {
+            if (!counts_as_reader(s)) continue;
+            spare[s.entry.cell] -= read;
+            if (s.entry.cell == reader.entry.cell) of_readers += read;
+        }
+        double left = uniform() * of_readers;
+        if (left <= own) return reader.entry.cell;
+        double total = 0;
+        for (const auto& [cell, share] : spare) total += std::max(0.0, share);
+        left = uniform() * total;
+        for (const auto& [cell, share] : spare) {
+            if ((left -= std::max(0.0, share)) < 0) return cell;
+        }
+        return reader.entry.cell;
+    }
+    static bool counts_as_reader(const Server& s) {
+        return s.role == Role::read && s.entry.mode == Mode::healthy && !s.suspect;
+    }
+
     // Own streams at the server that have made fewer than the quantum's tokens, at the wanted pace.
     int young(const Server& s) const {
         int n = 0;
