Cold budget holds in sum: a share under one send becomes a chance

Cause: max(1, ...) let each gateway send a cold server one request a window, 200 gateways 200. The look at all peers for each cold server is gone from the pick.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -125,7 +125,7 @@
 
 class Router::Impl {
 public:
-    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), random_(seed) {
+    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), seed_(seed), random_(seed) {
         const auto need = [](bool ok, const char* what) {
             if (!ok) throw std::invalid_argument(std::string("gorsenotch settings: ") + what);
         };
@@ -517,7 +517,7 @@
 
     bool usable(Server& s, const Request& r, bool strict) {
         if (s.entry.mode != Mode::healthy) return false;
-        if (!cold_room(s)) return false;
+        if (!cold_room(s, r)) return false;
         if (r.may_have_run && s_.classes[cls(r)].effect == Effect::by_key && s.writes()) {
             const ClassSettings& c = s_.classes[cls(r)];
             const Server* ran = find(r.ran_at);
@@ -531,25 +531,20 @@
 
     bool has_room(const Server& s) const { return s.memory_share < kNearFull; }
 
-    // Guards against a cold server being pushed over, by this gateway's part of the budget. Own sends to warm
-    // peers already are this gateway's part of their load, so no further division by the gateways is needed.
-    bool cold_room(Server& s) {
+    // Guards against a cold server being pushed over by all gateways together. Each sends it a share of what its
+    // warm peers get from this same gateway, so the sum holds without division by the gateways. A share under
+    // one send becomes a chance, drawn once for a request and server, so that no further look improves it.
+    // Where this gateway shuns many peers, all may: then the chance falls with those left.
+    bool cold_room(Server& s, const Request& r) {
         if (now_ - s.cold_since >= s_.warm_within) return true;
         prune(s);
-        double sum = 0;
-        int peers = 0;
-        for (const auto& [id, p] : servers_) {
-            if (p.role != s.role || p.entry.mode != Mode::healthy || p.suspect) continue;
-            if (now_ - p.cold_since < s_.warm_within) continue;
-            sum += p.sends.read(now_), ++peers;
-        }
-        double& usual = usual_rate_[static_cast<std::size_t>(s.role)];
-        // The most that peers carried lately: what they carry now may be little for the same trouble's sake.
-        if (peers) usual = std::max(usual, sum / peers);
+        const auto role = static_cast<std::size_t>(s.role);
         const double age = (now_ - s.cold_since) / s_.warm_within;
         const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
         const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
-        return static_cast<double>(s.recent.size()) + 1 <= std::max(1.0, share * usual * s_.fall_window);
+        const double draw = static_cast<double>(mix(seed_ + r.serial, s.entry.server) >> 11) * 0x1p-53;
+        const double carried = usual_rate_[role] * s_.fall_window;
+        return static_cast<double>(s.recent.size()) + draw < share * std::max(unshunned_[role], carried);
     }
 
     void prune(Server& s) const {
@@ -656,7 +651,7 @@
             if (!s->suspect) usual(r.stage, r).out(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
-        for (double& rate : usual_rate_) rate *= std::exp(-dt / kUsualSpan / 10);
+        survey(dt);
         for (auto& stage : typical_) {
             for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan), std::exp(-dt / kUsualSpan / 10));
         }
@@ -688,6 +683,26 @@
         }
     }
 
+    // What this gateway sends a warm server of each role (the most lately: what they carry now may be little for
+    // the same trouble's sake), and the part of the role's servers that it does not shun.
+    void survey(Millis dt) {
+        std::array<double, 3> sent{}, warm{}, left{}, listed{};
+        for (const auto& [id, s] : servers_) {
+            if (s.entry.mode != Mode::healthy) continue;
+            const auto role = static_cast<std::size_t>(s.role);
+            ++listed[role];
+            if (s.suspect) continue;
+            ++left[role];
+            if (now_ - s.cold_since < s_.warm_within) continue;
+            ++warm[role], sent[role] += s.sends.read(now_);
+        }
+        for (std::size_t role = 0; role < 3; ++role) {
+            usual_rate_[role] *= std::exp(-dt / kUsualSpan / 10);
+            if (warm[role] > 0) usual_rate_[role] = std::max(usual_rate_[role], sent[role] / warm[role]);
+            if (listed[role] > 0) unshunned_[role] = left[role] / listed[role];
+        }
+    }
+
     // Takes own requests off a server that has become slow or silent, within the retry budget.
     void rescue(Server& s) {
         for (auto& [id, r] : requests_) {
@@ -781,6 +796,7 @@
     void act(Action a) { actions_->push_back(std::move(a)); }
 
     const Settings s_;
+    const std::uint64_t seed_;
     std::mt19937_64 random_;
     Millis now_ = 0;
     std::vector<Action>* actions_ = nullptr;
@@ -795,7 +811,7 @@
     Rate arrivals_;
     Mean prompt_;
     std::array<std::vector<Usual>, 3> typical_;
-    std::array<double, 3> usual_rate_{};
+    std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
     std::vector<double> quota_left_;
     std::map<std::size_t, Millis> quota_at_;
 };
