--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -23,6 +23,8 @@
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
 constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
+constexpr double kSpread = 3;      // homes of a beginning for each reader's load that it brings
+constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
@@ -175,6 +177,7 @@
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
         prompt_.add(a.prompt_tokens);
+        count(a.prefix);
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
@@ -388,6 +391,15 @@
             ->second;
     }
 
+    // Counts how often each beginning comes, fading with the traffic.
+    void count(std::uint64_t prefix) {
+        if (prefix) ++beginnings_[prefix];
+        if (++begun_ < kManyBegun) return;
+        begun_ /= 2;
+        for (auto& [id, n] : beginnings_) n /= 2;
+        std::erase_if(beginnings_, [](const auto& entry) { return entry.second < 0.5; });
+    }
+
     Server* pick_reader(Request& r) {
         Server* writer = nullptr;
         std::vector<Server*> fit;
@@ -433,11 +445,23 @@
         if (own_zone) std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
         // Sessions that share a beginning share its home, so that few readers keep it and its sessions' texts
         // meet it there; a session without one has its own home.
+        // How many homes a beginning has follows its part of this gateway's traffic: at each of them it makes up
+        // a third of a reader's usual load at most. Sessions spread over its homes, each with one of its own.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
-            return *std::max_element(near.begin(), near.end(), [key](Server* a, Server* b) {
-                return mix(key, a->entry.server) < mix(key, b->entry.server);
-            });
+            const double readers = static_cast<double>(near.size());
+            const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
+            const auto homes = std::min(near.size(), 1 + static_cast<std::size_t>(kSpread * readers * part));
+            const auto nearest = [&near](std::uint64_t to, std::size_t n) {
+                std::partial_sort(near.begin(), near.begin() + static_cast<std::ptrdiff_t>(n), near.end(),
+                                  [to](Server* x, Server* y) {
+                                      return mix(to, x->entry.server) > mix(to, y->entry.server);
+                                  });
+                near.resize(n);
+            };
+            nearest(key, homes);
+            if (homes > 1) nearest(r.a.session, 1);
+            return near[0];
         }
         std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
@@ -810,6 +834,8 @@
     double retries_ = 20;
     Rate arrivals_;
     Mean prompt_;
+    std::map<std::uint64_t, double> beginnings_;
+    double begun_ = 0;
     std::array<std::vector<Usual>, 3> typical_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
     std::vector<double> quota_left_;
