--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -117,6 +117,7 @@
     // the read state
     bool state = false;
     ServerId reader = 0;
+    std::vector<ServerId> failed;  // where an attempt of its failed
     // effects
     bool may_have_run = false;
     ServerId ran_at = 0;
@@ -203,6 +204,9 @@
         if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
         if (o.closed) r.ended = true;
         if (r.ended) return finish(r);
+        if (o.result != Result::read_done && !(o.result == Result::full && o.note == 1)) {
+            r.failed.push_back(o.server);
+        }
         // Guards against pinned states: a read whose end was lost, or a state whose reader is only cut off,
         // may still stand there though this gateway heard of none.
         if (!r.state) act(DropState{r.a.request});
@@ -477,7 +481,7 @@
         for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
             for (auto& [id, s] : servers_) {
                 if (!s.writes() || !usable(s, r, strict)) continue;
-                if (strict && (!has_room(s) || now_ < s.full_until)) continue;
+                if (strict && !has_room(s)) continue;
                 int queued = s.out[waiting] + s.out[reading];
                 if (!strict) queued += young(s);
                 fit.push_back({queued, &s});
@@ -549,7 +553,12 @@
             if (c.group == Group::zone && ran->entry.zone != s.entry.zone) return false;
             if (c.group == Group::cell && ran->entry.cell != s.entry.cell) return false;
         }
-        if (!strict || !s.suspect) return true;
+        if (!strict) return true;
+        // Guards against a request spent on one server: sick, full or cut off, it looks idle to a gateway that has
+        // nothing else there. Full servers are passed by for all requests.
+        if (now_ < s.full_until) return false;
+        if (std::find(r.failed.begin(), r.failed.end(), s.entry.server) != r.failed.end()) return false;
+        if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
     }
 
