One failure flags where visits are rare; slow outliers no longer raise what is usual

Cause: a gateway visits a server once in tens of seconds, so the second failure that used to confirm the first never came, and one slow read lengthened all its time-outs. Pauses of suspects start at the usual time between visits, up to their bound.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -627,7 +627,8 @@
             case Result::error:
                 if (early) return;
                 s.errors += kErrorStep * (1 - s.errors);
-                if (s.suspect || s.errors > kErrorFlag) doubt(s);
+                // With few visits no second failure comes in time to confirm the first.
+                if (s.suspect || ((s.errors > kErrorFlag || visit(s) > kUsualSpan) && minority(s))) doubt(s);
                 return;
             case Result::cancelled:
                 haunt(s, r);
@@ -647,7 +648,9 @@
     // A suspect gets nothing for a while, then one request at a time, doubling with each success.
     void doubt(Server& s) {
         // A trial of a server that is down costs little, one of a slow server a late answer.
-        s.pause = std::clamp(2 * s.pause, min_aim_, (s.was_down ? 2 : 8) * min_aim_);
+        // Where visits are rare, all gateways' trials together are held down by longer pauses.
+        const Millis longest = (s.was_down ? 2 : 8) * min_aim_;
+        s.pause = std::clamp(2 * s.pause, std::clamp(visit(s), min_aim_, longest), longest);
         s.suspect = true;
         s.suspected = now_;
         s.retry_at = now_ + s.pause;
@@ -656,6 +659,22 @@
         s.slow = {};
     }
 
+    // The usual time between own sends to a server of this role.
+    Millis visit(const Server& s) const {
+        return 1 / std::max(1e-9, usual_rate_[static_cast<std::size_t>(s.role)]);
+    }
+
+    // Overload makes all slow: only a minority of a role may be flagged for slowness or failures.
+    bool minority(const Server& s, Stage stage = reading) const {
+        int peers = 0, bad = 0;
+        for (const auto& [id, p] : servers_) {
+            if (p.role != s.role || p.entry.mode != Mode::healthy) continue;
+            ++peers;
+            bad += p.suspect || p.slow[stage] >= kSlowEvidence / 2;
+        }
+        return 2 * bad <= peers;
+    }
+
     // A finished stage speaks against its server being slow.
     void sample(Server& s, const Request& r, Stage stage) {
         s.slow[stage] = std::max(0.0, s.slow[stage] - std::log(kSlowFactor));
@@ -681,7 +700,8 @@
                 double& e = s->slow[r.stage];
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
-            if (!s->suspect) usual(r.stage, r).out(dt / r.units);
+            // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
+            if (!s->suspect && age < 3 * expects) usual(r.stage, r).out(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
@@ -698,14 +718,7 @@
         for (auto& [id, s] : servers_) {
             for (std::size_t stage = 0; stage < 3; ++stage) {
                 if (s.slow[stage] < kSlowEvidence || !harmed[id][stage]) continue;
-                // Overload makes all slow: only a minority may be flagged.
-                int peers = 0, bad = 0;
-                for (const auto& [pid, p] : servers_) {
-                    if (p.role != s.role || p.entry.mode != Mode::healthy) continue;
-                    ++peers;
-                    bad += p.suspect || p.slow[stage] >= kSlowEvidence / 2;
-                }
-                if (2 * bad > peers) continue;
+                if (!minority(s, static_cast<Stage>(stage))) continue;
                 slow.push_back(&s);
                 break;
             }
