--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -320,7 +320,7 @@
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
         const Millis usually = expected(r, stage);
-        return std::min(left, std::max(3 * usually, std::clamp(6 * usually, 0.3 * aim(r), 0.6 * aim(r))));
+        return std::min(left, std::max(0.6 * aim(r), std::min(6 * usually, 1.2 * aim(r))));
     }
 
     static void take_off(Server& s, const Request& r) {
@@ -703,7 +703,7 @@
             }
             // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
             if (!s->suspect && age < 3 * expects) usual(r.stage, r).out(dt / r.units);
-            if (r.stage == streaming || age > 0.3 * aim(r)) harmed[r.server][r.stage] = true;
+            if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
         for (auto& stage : typical_) {
