--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -72,6 +72,8 @@
     return x ^ (x >> 31);
 }
 
+double fraction(std::uint64_t a, std::uint64_t b) { return static_cast<double>(mix(a, b) >> 11) * 0x1p-53; }
+
 struct Server {
     ServerEntry entry;
     Role role = Role::both;
@@ -319,8 +321,7 @@
     Millis limit(const Request& r, Stage stage) {
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
-        const Millis usually = expected(r, stage);
-        return std::min(left, std::max(0.6 * aim(r), std::min(6 * usually, 1.2 * aim(r))));
+        return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
     }
 
     static void take_off(Server& s, const Request& r) {
@@ -441,13 +442,24 @@
         const double prompt = prompt_.value / memory(*fit[0]);
         // The own zone is left sooner: it may have few readers, and there its gateways' reads would jam.
         std::vector<Server*> near;
-        bool own_zone = false;
+        std::size_t own_zone = 0;
         for (std::size_t i = 0; i < fit.size(); ++i) {
             if (load[i] > least + saves * prompt) continue;
             near.push_back(fit[i]);
-            own_zone |= fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
+            own_zone += fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
+        }
+        // It reads what its share of the readers covers, taking every zone's clients for as many. Guards against
+        // the readers of a zone with few jamming, unseen in own queues, while others idle. A session stays put.
+        if (own_zone) {
+            double own = 0;
+            for (const Server* s : fit) own += s->entry.zone == s_.own_zone;
+            const bool stays = fraction(r.a.session, 0) * static_cast<double>(fit.size()) <= own * s_.zones;
+            if (stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size()) {
+                std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
+            } else {
+                std::erase_if(near, [this](Server* s) { return s->entry.zone == s_.own_zone; });
+            }
         }
-        if (own_zone) std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
         // Sessions that share a beginning share its home, so that few readers keep it and its sessions' texts
         // meet it there; a session without one has its own home.
         // How many homes a beginning has follows its part of this gateway's traffic: at each of them it makes up
@@ -576,7 +588,7 @@
         const double age = (now_ - s.cold_since) / s_.warm_within;
         const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
         const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
-        const double draw = static_cast<double>(mix(seed_ + r.serial, s.entry.server) >> 11) * 0x1p-53;
+        const double draw = fraction(seed_ + r.serial, s.entry.server);
         const double carried = usual_rate_[role] * s_.fall_window;
         return static_cast<double>(s.recent.size()) + draw < share * std::max(unshunned_[role], carried);
     }
@@ -702,7 +714,7 @@
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
             // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
-            if (!s->suspect && age < 3 * expects) usual(r.stage, r).out(dt / r.units);
+            if (!s->suspect && age < 6 * expects) usual(r.stage, r).out(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
