Time spent at a suspect is taken out of what is usual; longer pauses for down servers where visits are rare

Cause: silent servers lengthened every time-out. Mixed: where links or writers are jammed, shorter time-outs hurt; that jam is next.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <random>
 #include <stdexcept>
+#include <utility>
 
 namespace gorsenotch {
 namespace {
@@ -61,7 +62,7 @@
         spent *= keep, ended *= keep;
         long_spent *= long_keep, long_ended *= long_keep;
     }
-    void out(double time) { spent += time, long_spent += time; }
+    void out(double time) { spent = std::max(0.0, spent + time), long_spent = std::max(0.0, long_spent + time); }
     void end() { ++ended, ++long_ended; }
 };
 
@@ -116,6 +117,7 @@
     Millis sent = 0, stage_since = 0;
     // Queue at the send: thousands of tokens to read, or sends waiting; for a stream its hinted length.
     double units = 1;
+    double counted = 0;  // time of this stage in what is usual
     // the read state
     bool state = false;
     ServerId reader = 0;
@@ -302,7 +304,7 @@
     }
 
     void send(Request& r, Server& s, Stage stage) {
-        r.out = true, r.stopped = false, r.stage = stage, r.server = s.entry.server, r.sent = now_;
+        r.out = true, r.stopped = false, r.counted = 0, r.stage = stage, r.server = s.entry.server, r.sent = now_;
         ++r.attempts;
         ++s.out[stage];
         r.units = s.out[waiting];  // this one counted
@@ -337,7 +339,7 @@
 
     void move(Server& s, Request& r, Stage to) {
         take_off(s, r);
-        r.stage = to;
+        r.stage = to, r.counted = 0;
         const double pace = s_.classes[cls(r)].token_aim;
         r.units = r.a.length_hint > 0 && pace > 0 ? std::clamp(r.a.length_hint / pace / 100, 0.3, 3.0) : 1;
         ++s.out[to];
@@ -662,10 +664,14 @@
     void doubt(Server& s) {
         // A trial of a server that is down costs little, one of a slow server a late answer.
         // Where visits are rare, all gateways' trials together are held down by longer pauses.
-        const Millis longest = (s.was_down ? 2 : 8) * min_aim_;
+        const Millis longest = (s.was_down && visit(s) < kUsualSpan ? 2 : 8) * min_aim_;
         s.pause = std::clamp(2 * s.pause, std::clamp(visit(s), min_aim_, longest), longest);
         s.suspect = true;
         s.suspected = now_;
+        // What has waited there tells of this server, not of what is usual.
+        for (auto& [id, r] : requests_) {
+            if (r.out && r.server == s.entry.server) usual(r.stage, r).out(-std::exchange(r.counted, 0));
+        }
         s.retry_at = now_ + s.pause;
         s.allow = 1;
         s.errors = 0;
@@ -714,7 +720,10 @@
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
             // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
-            if (!s->suspect && age < 6 * expects) usual(r.stage, r).out(dt / r.units);
+            if (!s->suspect && age < 6 * expects) {
+                usual(r.stage, r).out(dt / r.units);
+                r.counted += dt / r.units;
+            }
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
