--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -103,6 +103,11 @@
     int total() const { return out[reading] + out[waiting] + out[streaming]; }
 };
 
+struct Cell {
+    int zone = 0;
+    double read = 0, write = 0, pull = 1;
+};
+
 struct Request {
     Arrival a;
     std::uint64_t serial = 0;
@@ -263,6 +268,7 @@
             s.entry = entry;
             s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
         }
+        weigh();
     }
 
     void on(const ProbeResult& p) {
@@ -453,17 +459,15 @@
         // It reads what its share of the readers covers, taking every zone's clients for as many. Guards against
         // the readers of a zone with few jamming, unseen in own queues, while others idle. A session stays put.
         if (own_zone) {
-            double own = 0;
-            for (const Server* s : fit) own += s->entry.zone == s_.own_zone;
-            const bool stays = fraction(r.a.session, 0) * static_cast<double>(fit.size()) <= own * s_.zones;
-            if (stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size()) {
-                std::erase_if(near, [this](Server* s) { return s->entry.zone != s_.own_zone; });
-            } else {
-                std::erase_if(near, [this](Server* s) { return s->entry.zone == s_.own_zone; });
+            double own = 0, all = 0;
+            for (const Server* s : fit) {
+                all += pull(*s);
+                if (s->entry.zone == s_.own_zone) own += pull(*s);
             }
+            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
+            const bool only = stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size();
+            std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
-        // Sessions that share a beginning share its home, so that few readers keep it and its sessions' texts
-        // meet it there; a session without one has its own home.
         // How many homes a beginning has follows its part of this gateway's traffic: at each of them it makes up
         // a third of a reader's usual load at most. Sessions spread over its homes, each with one of its own.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
@@ -471,12 +475,15 @@
             const double readers = static_cast<double>(near.size());
             const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
             const auto homes = std::min(near.size(), 1 + static_cast<std::size_t>(kSpread * readers * part));
-            const auto nearest = [&near](std::uint64_t to, std::size_t n) {
-                std::partial_sort(near.begin(), near.begin() + static_cast<std::ptrdiff_t>(n), near.end(),
-                                  [to](Server* x, Server* y) {
-                                      return mix(to, x->entry.server) > mix(to, y->entry.server);
-                                  });
-                near.resize(n);
+            const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
+                std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
+                for (Server* s : near) {
+                    by.push_back({std::log(fraction(to, s->entry.server) + 1e-18) / pull(*s), s});
+                }
+                std::partial_sort(by.begin(), by.begin() + static_cast<std::ptrdiff_t>(n), by.end(),
+                                  [](const auto& x, const auto& y) { return x.first > y.first; });
+                near.clear();
+                for (std::size_t i = 0; i < n; ++i) near.push_back(by[i].second);
             };
             nearest(key, homes);
             if (homes > 1) nearest(r.a.session, 1);
@@ -505,7 +512,7 @@
         if (fit.empty()) return nullptr;
         int least = fit[0].first;
         for (const auto& [n, s] : fit) least = std::min(least, n);
-        const std::uint64_t cell = reader ? deal(*reader, fit) : 0;
+        const std::uint64_t cell = reader ? deal(*reader) : 0;
         std::vector<std::pair<std::array<double, 3>, Server*>> near;
         for (const auto& [n, s] : fit) {
             if (n > least + 1) continue;
@@ -516,34 +523,49 @@
     }
 
     // The cell whose writers come first for a state at this reader: its own, as far as the cell's share of the
-    // writers covers its share of the readers; for the rest a cell with writers to spare. Guards against the
-    // few writers of a cell full of readers drawing all that is read there, which own queues cannot show when
-    // each gateway sends little. May do harm where links between cells are narrow.
-    std::uint64_t deal(const Server& reader, const std::vector<std::pair<int, Server*>>& fit) {
-        std::map<std::uint64_t, double> spare;  // by cell: share of the writers less share of the readers
-        double readers = 0;
-        for (const auto& [id, s] : servers_) readers += counts_as_reader(s);
-        const double write = 1 / static_cast<double>(fit.size()), read = readers > 0 ? 1 / readers : 0;
-        for (const auto& [n, s] : fit) spare[s->entry.cell] += write;
-        const double own = spare[reader.entry.cell];
-        double of_readers = 0;
-        for (const auto& [id, s] : servers_) {
-            if (!counts_as_reader(s)) continue;
-            spare[s.entry.cell] -= read;
-            if (s.entry.cell == reader.entry.cell) of_readers += read;
-        }
-        double left = uniform() * of_readers;
-        if (left <= own) return reader.entry.cell;
+    // writers covers what is read there; for the rest a cell with writers to spare, the nearer zone counting
+    // double. Guards against the few writers of a cell full of readers drawing all that is read there, which
+    // own queues cannot show when each gateway sends little. May do harm where links between cells are narrow.
+    std::uint64_t deal(const Server& reader) {
+        const auto own = cells_.find(reader.entry.cell);
+        if (own == cells_.end()) return reader.entry.cell;
+        if (uniform() * own->second.read <= own->second.write) return reader.entry.cell;
+        const auto spare = [&](const Cell& c) {
+            return std::max(0.0, c.write - c.read) * (c.zone == reader.entry.zone ? 2 : 1);
+        };
         double total = 0;
-        for (const auto& [cell, share] : spare) total += std::max(0.0, share);
-        left = uniform() * total;
-        for (const auto& [cell, share] : spare) {
-            if ((left -= std::max(0.0, share)) < 0) return cell;
+        for (const auto& [id, c] : cells_) total += spare(c);
+        double left = uniform() * total;
+        for (const auto& [id, c] : cells_) {
+            if ((left -= spare(c)) < 0) return id;
         }
         return reader.entry.cell;
     }
-    static bool counts_as_reader(const Server& s) {
-        return s.role == Role::read && s.entry.mode == Mode::healthy && !s.suspect;
+
+    // How many reads a reader draws against the others. Half by itself, half by the writers of its cell: reads
+    // far from writers fill the link of their cell.
+    double pull(const Server& s) const {
+        const auto cell = cells_.find(s.entry.cell);
+        return cell == cells_.end() || cell->second.pull <= 0 ? 1 : cell->second.pull;
+    }
+
+    // The cells' shares of what is read and written, by the servers that this gateway does not shun.
+    void weigh() {
+        cells_.clear();
+        double readers = 0, writers = 0, read = 0;
+        for (const auto& [id, s] : servers_) {
+            if (s.entry.mode != Mode::healthy || s.suspect) continue;
+            Cell& c = cells_[s.entry.cell];
+            c.zone = s.entry.zone;
+            if (s.role == Role::read) ++c.read, ++readers;
+            if (s.writes()) ++c.write, ++writers;
+        }
+        for (auto& [id, c] : cells_) {
+            c.write /= std::max(1.0, writers);
+            if (c.read > 0) c.pull = 0.5 + 0.5 * c.write / (c.read / readers);
+            read += c.read *= c.pull;
+        }
+        for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
     }
 
     // Own streams at the server that have made fewer than the quantum's tokens, at the wanted pace.
@@ -754,6 +776,7 @@
     // What this gateway sends a warm server of each role (the most lately: what they carry now may be little for
     // the same trouble's sake), and the part of the role's servers that it does not shun.
     void survey(Millis dt) {
+        weigh();
         std::array<double, 3> sent{}, warm{}, left{}, listed{};
         for (const auto& [id, s] : servers_) {
             if (s.entry.mode != Mode::healthy) continue;
@@ -872,6 +895,7 @@
     Millis asked_ = 0, checked_ = 0, min_aim_ = 0;
     double max_worth_ = 1e-9;
     std::map<ServerId, Server> servers_;
+    std::map<std::uint64_t, Cell> cells_;
     std::map<RequestId, Request> requests_;
     std::map<std::uint64_t, RequestId> by_serial_;
     std::uint64_t serial_ = 0;
