--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,7 +24,7 @@
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
 constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
-constexpr double kSpread = 3;      // homes of a beginning for each reader's load that it brings
+constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -562,7 +562,7 @@
         }
         for (auto& [id, c] : cells_) {
             c.write /= std::max(1.0, writers);
-            if (c.read > 0) c.pull = 0.5 + 0.5 * c.write / (c.read / readers);
+            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2);
             read += c.read *= c.pull;
         }
         for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
