--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,7 +24,7 @@
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
 constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
-constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
+constexpr double kSpread = 3;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -473,7 +473,7 @@
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
             const double readers = static_cast<double>(near.size());
-            const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
+            const double part = r.a.prefix ? (beginnings_[r.a.prefix] - 1) / (begun_ + readers) : 0;
             const auto homes = std::min(near.size(), 1 + static_cast<std::size_t>(kSpread * readers * part));
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
