--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,6 +24,9 @@
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
 constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
+constexpr double kCrowdLeast = 0.1;  // part of the aim that own zone's reads take when some go elsewhere ...
+constexpr double kCrowdMost = 0.3;   // ... and when most do
+constexpr double kCrowdSamples = 8;  // reads over which that part is averaged
 constexpr double kSpread = 3;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
@@ -464,7 +467,9 @@
                 all += pull(*s);
                 if (s->entry.zone == s_.own_zone) own += pull(*s);
             }
-            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
+            // Where the own zone's reads take much of the aim, its clients are more than that: some go elsewhere.
+            const double roomy = 1 - std::clamp((crowd_ - kCrowdLeast) / (kCrowdMost - kCrowdLeast), 0.0, 0.9);
+            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones * roomy;
             const bool only = stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
@@ -635,6 +640,9 @@
 
     // Judges a server by the outcome of an attempt.
     void settle(Server& s, const Request& r, const Outcome& o) {
+        if (r.stage == reading && s.entry.zone == s_.own_zone) {
+            crowd_ += (std::min(1.0, (now_ - r.sent) / aim(r)) - crowd_) / kCrowdSamples;
+        }
         const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
         switch (o.result) {
             case Result::served:
@@ -904,6 +912,7 @@
     Mean prompt_;
     std::map<std::uint64_t, double> beginnings_;
     double begun_ = 0;
+    double crowd_ = 0;
     std::array<std::vector<Usual>, 3> typical_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
     std::vector<double> quota_left_;
