Time-outs from a low quantile of the times seen

Cause: the mean that time-outs came from was lengthened by silent servers or, with those taken out, too short for a jam.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -24,10 +24,11 @@
 constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
 constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
 constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
-constexpr double kCrowdLeast = 0.1;  // part of the aim that own zone's reads take when some go elsewhere ...
-constexpr double kCrowdMost = 0.3;   // ... and when most do
-constexpr double kCrowdSamples = 8;  // reads over which that part is averaged
-constexpr double kSpread = 3;      // homes of a beginning for each reader's load that it brings
+constexpr double kQuickShare = 0.3;  // the quantile
+constexpr double kQuickStep = 0.8;   // and how fast it follows
+constexpr double kQuickTimes = 20;   // a time-out is so many times that quantile
+constexpr double kPatience = 0.4;     // and not under this part of the aim
+constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -69,6 +70,13 @@
     void end() { ++ended, ++long_ended; }
 };
 
+// A low quantile of the times seen, by steps: what most servers do, whatever the rest take. So that a large
+// minority of slow or silent servers does not lengthen the time-outs, while a jam, which slows all, does.
+struct Quick {
+    double value = 1;
+    void add(double x) { value *= std::exp(kQuickStep * (x > value ? kQuickShare : kQuickShare - 1)); }
+};
+
 std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
     std::uint64_t x = a * 0x9E3779B97F4A7C15ULL + b;
     x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
@@ -161,6 +169,7 @@
             typical_[waiting].push_back({c.aim / 12});
             typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
         }
+        quick_[reading].value = typical_[reading][0].prior, quick_[waiting].value = typical_[waiting][0].prior / 4;
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
         for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
@@ -202,6 +211,7 @@
         const auto it = requests_.find(o.request);
         if (it == requests_.end() || !it->second.out || o.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
+        if (r.stage != streaming) quicken(r, o.result);
         if (server) settle(*server, r, o);
         // A stream that was called off just as it began, and after all is still owed an answer.
         if (!o.closed && r.stage == streaming && r.ended && !r.final) r.ended = false;
@@ -230,6 +240,7 @@
         if (it == requests_.end() || !it->second.out || f.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
         if (Server* s = find(r.server)) {
+            quicken(r, Result::served);
             sample(*s, r, waiting);
             move(*s, r, streaming);
         }
@@ -332,7 +343,19 @@
     Millis limit(const Request& r, Stage stage) {
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
-        return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
+        return std::min(left, std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience * aim(r)));
+    }
+
+    // What the time in a stage is measured by: a read by its tokens and those ahead, a wait by the prompt to fetch.
+    double span(const Request& r, Stage stage) const {
+        return stage == reading ? r.units : 0.2 + r.a.prompt_tokens / 1000;
+    }
+
+    void quicken(const Request& r, Result result) {
+        const bool done = result == Result::served || result == Result::read_done;
+        Quick& quick = quick_[r.stage];
+        const double took = (now_ - r.sent) / span(r, r.stage);
+        if (done || took > quick.value) quick.add(took);
     }
 
     static void take_off(Server& s, const Request& r) {
@@ -467,9 +490,7 @@
                 all += pull(*s);
                 if (s->entry.zone == s_.own_zone) own += pull(*s);
             }
-            // Where the own zone's reads take much of the aim, its clients are more than that: some go elsewhere.
-            const double roomy = 1 - std::clamp((crowd_ - kCrowdLeast) / (kCrowdMost - kCrowdLeast), 0.0, 0.9);
-            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones * roomy;
+            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
             const bool only = stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
@@ -478,7 +499,7 @@
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
             const double readers = static_cast<double>(near.size());
-            const double part = r.a.prefix ? (beginnings_[r.a.prefix] - 1) / (begun_ + readers) : 0;
+            const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
             const auto homes = std::min(near.size(), 1 + static_cast<std::size_t>(kSpread * readers * part));
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
@@ -640,9 +661,6 @@
 
     // Judges a server by the outcome of an attempt.
     void settle(Server& s, const Request& r, const Outcome& o) {
-        if (r.stage == reading && s.entry.zone == s_.own_zone) {
-            crowd_ += (std::min(1.0, (now_ - r.sent) / aim(r)) - crowd_) / kCrowdSamples;
-        }
         const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
         switch (o.result) {
             case Result::served:
@@ -912,8 +930,8 @@
     Mean prompt_;
     std::map<std::uint64_t, double> beginnings_;
     double begun_ = 0;
-    double crowd_ = 0;
     std::array<std::vector<Usual>, 3> typical_;
+    std::array<Quick, 2> quick_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
     std::vector<double> quota_left_;
     std::map<std::size_t, Millis> quota_at_;
