--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -588,7 +588,7 @@
         }
         for (auto& [id, c] : cells_) {
             c.write /= std::max(1.0, writers);
-            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2);
+            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.6, 1.1);
             read += c.read *= c.pull;
         }
         for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
