--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -28,6 +28,8 @@
 constexpr double kQuickStep = 0.8;   // and how fast it follows
 constexpr double kQuickTimes = 20;   // a time-out is so many times that quantile
 constexpr double kPatience = 0.4;     // and not under this part of the aim
+constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
+constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
 constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
@@ -116,7 +118,8 @@
 
 struct Cell {
     int zone = 0;
-    double read = 0, write = 0, pull = 1;
+    double read = 0, write = 0, pull = 1;  // shares of what is read and written; see pull
+    double spent = 0, reads = 0;           // parts of the aims spent on reads there and on its link; both fade
 };
 
 struct Request {
@@ -352,6 +355,14 @@
     }
 
     void quicken(const Request& r, Result result) {
+        // What a cell's readers and, for states that leave it, its link take of the aims.
+        const Server* reader = find(r.stage == reading ? r.server : r.reader);
+        const Server* server = find(r.server);
+        if (reader && server && (r.stage == reading || reader->entry.cell != server->entry.cell)) {
+            Cell& c = cells_[reader->entry.cell];
+            c.spent += std::min(1.0, (now_ - r.sent) / aim(r));
+            c.reads += r.stage == reading;
+        }
         const bool done = result == Result::served || result == Result::read_done;
         Quick& quick = quick_[r.stage];
         const double took = (now_ - r.sent) / span(r, r.stage);
@@ -575,9 +586,20 @@
         return cell == cells_.end() || cell->second.pull <= 0 ? 1 : cell->second.pull;
     }
 
+    // How well a cell's readers and link have done of late against all: below 1 where more of the aim was spent
+    // than elsewhere. Guards against a jam at either, which no queue of this gateway's own shows, and against
+    // zones whose clients are more than their share.
+    double calm(const Cell& c) const {
+        double spent = 0, reads = 0;
+        for (const auto& [id, other] : cells_) spent += other.spent, reads += other.reads;
+        const double usual = reads > 0 ? spent / reads : 0;
+        const double here = (c.spent + kCellPrior * usual) / (c.reads + kCellPrior);
+        return std::clamp((kCalm + usual) / (kCalm + here), 0.3, 1.5);
+    }
+
     // The cells' shares of what is read and written, by the servers that this gateway does not shun.
     void weigh() {
-        cells_.clear();
+        for (auto& [id, c] : cells_) c.read = c.write = 0;
         double readers = 0, writers = 0, read = 0;
         for (const auto& [id, s] : servers_) {
             if (s.entry.mode != Mode::healthy || s.suspect) continue;
@@ -588,7 +610,7 @@
         }
         for (auto& [id, c] : cells_) {
             c.write /= std::max(1.0, writers);
-            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.6, 1.1);
+            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2) * calm(c);
             read += c.read *= c.pull;
         }
         for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
@@ -802,6 +824,8 @@
     // What this gateway sends a warm server of each role (the most lately: what they carry now may be little for
     // the same trouble's sake), and the part of the role's servers that it does not shun.
     void survey(Millis dt) {
+        const double keep = std::exp(-dt / kUsualSpan / 3);
+        for (auto& [id, c] : cells_) c.spent *= keep, c.reads *= keep;
         weigh();
         std::array<double, 3> sent{}, warm{}, left{}, listed{};
         for (const auto& [id, s] : servers_) {
