--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -502,7 +502,7 @@
                 if (s->entry.zone == s_.own_zone) own += pull(*s);
             }
             const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
-            const bool only = stays || visit(*fit[0]) < kUsualSpan || own_zone == near.size();
+            const bool only = stays || !sparse() || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
         // How many homes a beginning has follows its part of this gateway's traffic: at each of them it makes up
@@ -511,7 +511,7 @@
         if (key) {
             const double readers = static_cast<double>(near.size());
             const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
-            const auto homes = std::min(near.size(), 1 + static_cast<std::size_t>(kSpread * readers * part));
+            const auto homes = std::min(near.size(), 1 + (sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
                 for (Server* s : near) {
@@ -565,7 +565,7 @@
     // own queues cannot show when each gateway sends little. May do harm where links between cells are narrow.
     std::uint64_t deal(const Server& reader) {
         const auto own = cells_.find(reader.entry.cell);
-        if (own == cells_.end()) return reader.entry.cell;
+        if (own == cells_.end() || !sparse()) return reader.entry.cell;
         if (uniform() * own->second.read <= own->second.write) return reader.entry.cell;
         const auto spare = [&](const Cell& c) {
             return std::max(0.0, c.write - c.read) * (c.zone == reader.entry.zone ? 2 : 1);
@@ -583,7 +583,7 @@
     // far from writers fill the link of their cell.
     double pull(const Server& s) const {
         const auto cell = cells_.find(s.entry.cell);
-        return cell == cells_.end() || cell->second.pull <= 0 ? 1 : cell->second.pull;
+        return cell == cells_.end() || !sparse() ? 1 : cell->second.pull;
     }
 
     // How well a cell's readers and link have done of late against all: below 1 where more of the aim was spent
@@ -753,6 +753,13 @@
         return 1 / std::max(1e-9, usual_rate_[static_cast<std::size_t>(s.role)]);
     }
 
+    // Whether this gateway meets a server too seldom for its own queues to show the load: then the list, the
+    // part of a beginning in the traffic and the times seen stand in for them.
+    bool sparse() const {
+        const auto role = static_cast<std::size_t>(s_.kinds[0].role);
+        return 1 / std::max(1e-9, usual_rate_[role]) > kUsualSpan;
+    }
+
     // Overload makes all slow: only a minority of a role may be flagged for slowness or failures.
     bool minority(const Server& s, Stage stage = reading) const {
         int peers = 0, bad = 0;
