--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -30,6 +30,7 @@
 constexpr double kPatience = 0.4;     // and not under this part of the aim
 constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
 constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
+constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
 constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
@@ -107,6 +108,7 @@
     bool suspect = false, was_down = false;
     Millis retry_at = 0, pause = 0, suspected = 0;
     double allow = 0;  // requests out at once while suspect
+    std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
     Millis full_until = -1e18, answered = -1e18;
     Rate sends;
     std::deque<Millis> recent;  // sends within the fall window
@@ -244,6 +246,7 @@
         Request& r = it->second;
         if (Server* s = find(r.server)) {
             quicken(r, Result::served);
+            s->failed[cls(r)] = -1e18;
             sample(*s, r, waiting);
             move(*s, r, streaming);
         }
@@ -279,6 +282,7 @@
                 s.suspect = s.was_down = false;
                 s.errors = 0;
                 s.slow = {};
+                s.failed.assign(s_.classes.size(), -1e18);
                 s.others = 0, s.heard = -1e18, s.memory_share = -1;
                 if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
             }
@@ -643,6 +647,10 @@
         // nothing else there. Full servers are passed by for all requests.
         if (now_ < s.full_until) return false;
         if (std::find(r.failed.begin(), r.failed.end(), s.entry.server) != r.failed.end()) return false;
+        // What failed a class last fails it again, more likely than not, while it may serve the others. Guards against
+        // servers that leave one class unanswered and, where visits are too rare for a flag, against all sick ones.
+        // Covers more than a minority, as what each gateway shuns differs. May do harm after a jam, as it outlasts it.
+        if (now_ - s.failed[cls(r)] < std::min(visit(s), kGrudge)) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
     }
@@ -684,6 +692,13 @@
     // Judges a server by the outcome of an attempt.
     void settle(Server& s, const Request& r, const Outcome& o) {
         const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
+        if (r.stage != streaming) {
+            const bool good = o.result == Result::served || o.result == Result::read_done;
+            const bool bad = o.result == Result::late || o.result == Result::error || o.result == Result::reset ||
+                             o.result == Result::unreachable || (o.result == Result::cancelled && r.stopped);
+            if (good) s.failed[cls(r)] = -1e18;
+            if (bad) s.failed[cls(r)] = now_;
+        }
         switch (o.result) {
             case Result::served:
             case Result::read_done:
