--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,6 +31,7 @@
 constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
 constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
+constexpr double kQuickMean = 1;     // usual times of it, where most servers are well
 constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
@@ -650,7 +651,7 @@
         // What failed a class last fails it again, more likely than not, while it may serve the others. Guards against
         // servers that leave one class unanswered and, where visits are too rare for a flag, against all sick ones.
         // Covers more than a minority, as what each gateway shuns differs. May do harm after a jam, as it outlasts it.
-        if (now_ - s.failed[cls(r)] < std::min(visit(s), kGrudge)) return false;
+        if (sparse() && now_ - s.failed[cls(r)] < std::min(visit(s), kGrudge)) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
     }
@@ -896,8 +897,12 @@
         }
         if (to_read > 1e17) to_read = 0;
         if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
-        const Millis write = usual(waiting, r).value();
-        const Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + fresh(r));
+        Millis write = usual(waiting, r).value();
+        Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + fresh(r));
+        if (sparse()) {
+            write = kQuickMean * quick_[waiting].value * span(r, waiting);
+            if (!r.state) read = kQuickMean * quick_[reading].value * (to_read + fresh(r));
+        }
         return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
