--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,9 +31,7 @@
 constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
 constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
-constexpr double kQuickMean = 1;     // usual times of it, where most servers are well
-constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
-constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
+constexpr std::size_t kHomes = 3;  // homes of a beginning where visits are rare
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
@@ -205,7 +203,6 @@
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
         prompt_.add(a.prompt_tokens);
-        count(a.prefix);
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
@@ -447,15 +444,6 @@
             ->second;
     }
 
-    // Counts how often each beginning comes, fading with the traffic.
-    void count(std::uint64_t prefix) {
-        if (prefix) ++beginnings_[prefix];
-        if (++begun_ < kManyBegun) return;
-        begun_ /= 2;
-        for (auto& [id, n] : beginnings_) n /= 2;
-        std::erase_if(beginnings_, [](const auto& entry) { return entry.second < 0.5; });
-    }
-
     Server* pick_reader(Request& r) {
         Server* writer = nullptr;
         std::vector<Server*> fit;
@@ -479,13 +467,16 @@
             if (now_ - s->heard < kRateSpan) known += s->others / memory(*s), ++heard;
         }
         std::vector<double> load;
-        double least = 1e18;
+        double least = 1e18, sum = 0;
         for (Server* s : fit) {
             const bool fresh = now_ - s->heard < kRateSpan;
             const double others = fresh ? s->others / memory(*s) : heard > 0 ? known / heard : 0;
             load.push_back(others + s->held / memory(*s));
             least = std::min(least, load.back());
+            sum += load.back();
         }
+        // Of most readers nothing is known here: the few heard of must not draw all from their homes.
+        if (sparse()) least = sum / static_cast<double>(fit.size());
         // A prompt read away from its home is read in full. So the margin grows with what home saves:
         // otherwise the first jam scatters the beginnings, each read gets longer, and the jam stays.
         const double saves = std::clamp(r.a.prompt_tokens / (1000 * fresh(r)), kMarginLeast, kMarginMost);
@@ -510,13 +501,12 @@
             const bool only = stays || !sparse() || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
-        // How many homes a beginning has follows its part of this gateway's traffic: at each of them it makes up
-        // a third of a reader's usual load at most. Sessions spread over its homes, each with one of its own.
+        // A beginning has more than one home where no queue of this gateway's own would show that one is jammed,
+        // and its sessions spread over them. Which home is a session's must follow from the list alone: its next
+        // turn comes to another gateway.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
-            const double readers = static_cast<double>(near.size());
-            const double part = r.a.prefix ? beginnings_[r.a.prefix] / (begun_ + readers) : 0;
-            const auto homes = std::min(near.size(), 1 + (sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
+            const auto homes = std::min(near.size(), r.a.prefix && sparse() ? kHomes : 1);
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
                 for (Server* s : near) {
@@ -897,12 +887,8 @@
         }
         if (to_read > 1e17) to_read = 0;
         if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
-        Millis write = usual(waiting, r).value();
-        Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + fresh(r));
-        if (sparse()) {
-            write = kQuickMean * quick_[waiting].value * span(r, waiting);
-            if (!r.state) read = kQuickMean * quick_[reading].value * (to_read + fresh(r));
-        }
+        const Millis write = usual(waiting, r).value();
+        const Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + fresh(r));
         return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
@@ -979,8 +965,6 @@
     double retries_ = 20;
     Rate arrivals_;
     Mean prompt_;
-    std::map<std::uint64_t, double> beginnings_;
-    double begun_ = 0;
     std::array<std::vector<Usual>, 3> typical_;
     std::array<Quick, 2> quick_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
