--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,7 +31,8 @@
 constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
 constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
-constexpr std::size_t kHomes = 1;  // homes of a beginning where visits are rare
+constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
+constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
@@ -203,6 +204,7 @@
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
         prompt_.add(a.prompt_tokens);
+        count(a.prefix);
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
@@ -444,6 +446,15 @@
             ->second;
     }
 
+    // Counts how often each beginning comes, fading with the traffic.
+    void count(std::uint64_t prefix) {
+        if (prefix) ++beginnings_[prefix];
+        if (++begun_ < kManyBegun) return;
+        begun_ /= 2;
+        for (auto& [id, n] : beginnings_) n /= 2;
+        std::erase_if(beginnings_, [](const auto& entry) { return entry.second < 0.5; });
+    }
+
     Server* pick_reader(Request& r) {
         Server* writer = nullptr;
         std::vector<Server*> fit;
@@ -501,12 +512,14 @@
             const bool only = stays || !sparse() || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
-        // A beginning has more than one home where no queue of this gateway's own would show that one is jammed,
-        // and its sessions spread over them. Which home is a session's must follow from the list alone: its next
-        // turn comes to another gateway.
+        // How many homes a beginning has follows its part of this gateway's traffic, where no queue of its own
+        // would show that one is jammed. Its sessions spread over them; their next turns come to other gateways.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
-            const auto homes = std::min(near.size(), r.a.prefix && sparse() ? kHomes : 1);
+            const double readers = static_cast<double>(near.size());
+            const double part = (beginnings_[r.a.prefix] - 1) / (begun_ + readers);
+            const auto homes = std::min(
+                near.size(), 1 + (r.a.prefix && sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
                 for (Server* s : near) {
@@ -965,6 +978,8 @@
     double retries_ = 20;
     Rate arrivals_;
     Mean prompt_;
+    std::map<std::uint64_t, double> beginnings_;
+    double begun_ = 0;
     std::array<std::vector<Usual>, 3> typical_;
     std::array<Quick, 2> quick_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
