--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -610,7 +610,7 @@
         for (auto& [id, c] : cells_) c.read = c.write = 0;
         double readers = 0, writers = 0, read = 0;
         for (const auto& [id, s] : servers_) {
-            if (s.entry.mode != Mode::healthy || s.suspect) continue;
+            if (s.entry.mode != Mode::healthy) continue;
             Cell& c = cells_[s.entry.cell];
             c.zone = s.entry.zone;
             if (s.role == Role::read) ++c.read, ++readers;
@@ -654,7 +654,7 @@
         // What failed a class last fails it again, more likely than not, while it may serve the others. Guards against
         // servers that leave one class unanswered and, where visits are too rare for a flag, against all sick ones.
         // Covers more than a minority, as what each gateway shuns differs. May do harm after a jam, as it outlasts it.
-        if (sparse() && now_ - s.failed[cls(r)] < std::min(visit(s), kGrudge)) return false;
+        if (sparse() && now_ - s.failed[cls(r)] < kGrudge) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
     }
@@ -732,7 +732,7 @@
                 if (early) return;
                 s.errors += kErrorStep * (1 - s.errors);
                 // With few visits no second failure comes in time to confirm the first.
-                if (s.suspect || ((s.errors > kErrorFlag || visit(s) > kUsualSpan) && minority(s))) doubt(s);
+                if (s.suspect || ((s.errors > kErrorFlag || sparse()) && minority(s))) doubt(s);
                 return;
             case Result::cancelled:
                 haunt(s, r);
@@ -753,8 +753,8 @@
     void doubt(Server& s) {
         // A trial of a server that is down costs little, one of a slow server a late answer.
         // Where visits are rare, all gateways' trials together are held down by longer pauses.
-        const Millis longest = (s.was_down && visit(s) < kUsualSpan ? 2 : 8) * min_aim_;
-        s.pause = std::clamp(2 * s.pause, std::clamp(visit(s), min_aim_, longest), longest);
+        const Millis longest = (s.was_down && !sparse() ? 2 : 8) * min_aim_;
+        s.pause = std::clamp(2 * s.pause, sparse() ? longest : min_aim_, longest);
         s.suspect = true;
         s.suspected = now_;
         // What has waited there tells of this server, not of what is usual.
@@ -767,16 +767,10 @@
         s.slow = {};
     }
 
-    // The usual time between own sends to a server of this role.
-    Millis visit(const Server& s) const {
-        return 1 / std::max(1e-9, usual_rate_[static_cast<std::size_t>(s.role)]);
-    }
-
     // Whether this gateway meets a server too seldom for its own queues to show the load: then the list, the
     // part of a beginning in the traffic and the times seen stand in for them.
     bool sparse() const {
-        const auto role = static_cast<std::size_t>(s_.kinds[0].role);
-        return 1 / std::max(1e-9, usual_rate_[role]) > kUsualSpan;
+        return s_.gateways > 1 && usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
     }
 
     // Overload makes all slow: only a minority of a role may be flagged for slowness or failures.
