--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -350,6 +350,7 @@
     Millis limit(const Request& r, Stage stage) {
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
+        if (!sparse()) return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
         return std::min(left, std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience * aim(r)));
     }
 
@@ -758,7 +759,7 @@
         s.suspect = true;
         s.suspected = now_;
         // What has waited there tells of this server, not of what is usual.
-        for (auto& [id, r] : requests_) {
+        if (sparse()) for (auto& [id, r] : requests_) {
             if (r.out && r.server == s.entry.server) usual(r.stage, r).out(-std::exchange(r.counted, 0));
         }
         s.retry_at = now_ + s.pause;
@@ -810,7 +811,7 @@
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
             // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
-            if (!s->suspect && age < 6 * expects) {
+            if (!s->suspect && (!sparse() || age < 6 * expects)) {
                 usual(r.stage, r).out(dt / r.units);
                 r.counted += dt / r.units;
             }
