--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -27,11 +27,12 @@
 constexpr double kQuickShare = 0.3;  // the quantile
 constexpr double kQuickStep = 0.8;   // and how fast it follows
 constexpr double kQuickTimes = 20;   // a time-out is so many times that quantile
-constexpr double kPatience = 0.4;     // and not under this part of the aim
-constexpr double kCellPrior = 3;  // reads in a cell that outweigh what is usual for all
-constexpr double kCalm = 0.1;     // part of the aim that is quick anyway
-constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
-constexpr double kSpread = 2;      // homes of a beginning for each reader's load that it brings
+constexpr double kPatience = 0.4;    // and not under this part of the aim
+constexpr double kCellPrior = 3;     // reads in a cell that outweigh what is usual for all
+constexpr double kCalm = 0.1;        // part of the aim that is quick anyway
+constexpr double kGrudge = 20000;    // ms for which a server that failed a class is left by it, at most
+constexpr int kFewGateways = 4;      // up to so many, own queues show enough of the load
+constexpr double kSpread = 2;        // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -69,7 +70,9 @@
         spent *= keep, ended *= keep;
         long_spent *= long_keep, long_ended *= long_keep;
     }
-    void out(double time) { spent = std::max(0.0, spent + time), long_spent = std::max(0.0, long_spent + time); }
+    void out(double time) {
+        spent = std::max(0.0, spent + time), long_spent = std::max(0.0, long_spent + time);
+    }
     void end() { ++ended, ++long_ended; }
 };
 
@@ -107,7 +110,7 @@
     std::array<double, 3> slow{};  // evidence of slowness by stage
     bool suspect = false, was_down = false;
     Millis retry_at = 0, pause = 0, suspected = 0;
-    double allow = 0;  // requests out at once while suspect
+    double allow = 0;            // requests out at once while suspect
     std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
     Millis full_until = -1e18, answered = -1e18;
     Rate sends;
@@ -121,7 +124,7 @@
 struct Cell {
     int zone = 0;
     double read = 0, write = 0, pull = 1;  // shares of what is read and written; see pull
-    double spent = 0, reads = 0;           // parts of the aims spent on reads there and on its link; both fade
+    double spent = 0, reads = 0;  // parts of the aims spent on reads there and on its link; both fade
 };
 
 struct Request {
@@ -174,7 +177,8 @@
             typical_[waiting].push_back({c.aim / 12});
             typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
         }
-        quick_[reading].value = typical_[reading][0].prior, quick_[waiting].value = typical_[waiting][0].prior / 4;
+        quick_[reading].value = typical_[reading][0].prior,
+        quick_[waiting].value = typical_[waiting][0].prior / 4;
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
         for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
@@ -331,7 +335,8 @@
     }
 
     void send(Request& r, Server& s, Stage stage) {
-        r.out = true, r.stopped = false, r.counted = 0, r.stage = stage, r.server = s.entry.server, r.sent = now_;
+        r.out = true, r.stopped = false, r.counted = 0, r.stage = stage, r.server = s.entry.server,
+        r.sent = now_;
         ++r.attempts;
         ++s.out[stage];
         r.units = s.out[waiting];  // this one counted
@@ -351,10 +356,12 @@
         const Millis left = r.a.deadline - now_;
         if (r.attempts >= s_.max_attempts) return left;
         if (!sparse()) return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
-        return std::min(left, std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience * aim(r)));
+        return std::min(left,
+                        std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience * aim(r)));
     }
 
-    // What the time in a stage is measured by: a read by its tokens and those ahead, a wait by the prompt to fetch.
+    // What the time in a stage is measured by: a read by its tokens and those ahead, a wait by the prompt to
+    // fetch.
     double span(const Request& r, Stage stage) const {
         return stage == reading ? r.units : 0.2 + r.a.prompt_tokens / 1000;
     }
@@ -501,8 +508,9 @@
             near.push_back(fit[i]);
             own_zone += fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
         }
-        // It reads what its share of the readers covers, taking every zone's clients for as many. Guards against
-        // the readers of a zone with few jamming, unseen in own queues, while others idle. A session stays put.
+        // It reads what its share of the readers covers, taking every zone's clients for as many. Guards
+        // against the readers of a zone with few jamming, unseen in own queues, while others idle. A session
+        // stays put.
         if (own_zone) {
             double own = 0, all = 0;
             for (const Server* s : fit) {
@@ -513,14 +521,16 @@
             const bool only = stays || !sparse() || own_zone == near.size();
             std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
         }
-        // How many homes a beginning has follows its part of this gateway's traffic, where no queue of its own
-        // would show that one is jammed. Its sessions spread over them; their next turns come to other gateways.
+        // How many homes a beginning has follows its part of this gateway's traffic, where no queue of its
+        // own would show that one is jammed. Its sessions spread over them; their next turns come to other
+        // gateways.
         const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
         if (key) {
             const double readers = static_cast<double>(near.size());
             const double part = (beginnings_[r.a.prefix] - 1) / (begun_ + readers);
             const auto homes = std::min(
-                near.size(), 1 + (r.a.prefix && sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
+                near.size(),
+                1 + (r.a.prefix && sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
             const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
                 std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
                 for (Server* s : near) {
@@ -568,10 +578,11 @@
         return least_of(near);
     }
 
-    // The cell whose writers come first for a state at this reader: its own, as far as the cell's share of the
-    // writers covers what is read there; for the rest a cell with writers to spare, the nearer zone counting
-    // double. Guards against the few writers of a cell full of readers drawing all that is read there, which
-    // own queues cannot show when each gateway sends little. May do harm where links between cells are narrow.
+    // The cell whose writers come first for a state at this reader: its own, as far as the cell's share of
+    // the writers covers what is read there; for the rest a cell with writers to spare, the nearer zone
+    // counting double. Guards against the few writers of a cell full of readers drawing all that is read
+    // there, which own queues cannot show when each gateway sends little. May do harm where links between
+    // cells are narrow.
     std::uint64_t deal(const Server& reader) {
         const auto own = cells_.find(reader.entry.cell);
         if (own == cells_.end() || !sparse()) return reader.entry.cell;
@@ -588,16 +599,16 @@
         return reader.entry.cell;
     }
 
-    // How many reads a reader draws against the others. Half by itself, half by the writers of its cell: reads
-    // far from writers fill the link of their cell.
+    // How many reads a reader draws against the others. Half by itself, half by the writers of its cell:
+    // reads far from writers fill the link of their cell.
     double pull(const Server& s) const {
         const auto cell = cells_.find(s.entry.cell);
         return cell == cells_.end() || !sparse() ? 1 : cell->second.pull;
     }
 
-    // How well a cell's readers and link have done of late against all: below 1 where more of the aim was spent
-    // than elsewhere. Guards against a jam at either, which no queue of this gateway's own shows, and against
-    // zones whose clients are more than their share.
+    // How well a cell's readers and link have done of late against all: below 1 where more of the aim was
+    // spent than elsewhere. Guards against a jam at either, which no queue of this gateway's own shows, and
+    // against zones whose clients are more than their share.
     double calm(const Cell& c) const {
         double spent = 0, reads = 0;
         for (const auto& [id, other] : cells_) spent += other.spent, reads += other.reads;
@@ -619,7 +630,8 @@
         }
         for (auto& [id, c] : cells_) {
             c.write /= std::max(1.0, writers);
-            if (c.read > 0) c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2) * calm(c);
+            if (c.read > 0)
+                c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2) * calm(c);
             read += c.read *= c.pull;
         }
         for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
@@ -648,13 +660,14 @@
             if (c.group == Group::cell && ran->entry.cell != s.entry.cell) return false;
         }
         if (!strict) return true;
-        // Guards against a request spent on one server: sick, full or cut off, it looks idle to a gateway that has
-        // nothing else there. Full servers are passed by for all requests.
+        // Guards against a request spent on one server: sick, full or cut off, it looks idle to a gateway
+        // that has nothing else there. Full servers are passed by for all requests.
         if (now_ < s.full_until) return false;
         if (std::find(r.failed.begin(), r.failed.end(), s.entry.server) != r.failed.end()) return false;
-        // What failed a class last fails it again, more likely than not, while it may serve the others. Guards against
-        // servers that leave one class unanswered and, where visits are too rare for a flag, against all sick ones.
-        // Covers more than a minority, as what each gateway shuns differs. May do harm after a jam, as it outlasts it.
+        // What failed a class last fails it again, more likely than not, while it may serve the others.
+        // Guards against servers that leave one class unanswered and, where visits are too rare for a flag,
+        // against all sick ones. Covers more than a minority, as what each gateway shuns differs. May do harm
+        // after a jam, as it outlasts it.
         if (sparse() && now_ - s.failed[cls(r)] < kGrudge) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
@@ -662,10 +675,10 @@
 
     bool has_room(const Server& s) const { return s.memory_share < kNearFull; }
 
-    // Guards against a cold server being pushed over by all gateways together. Each sends it a share of what its
-    // warm peers get from this same gateway, so the sum holds without division by the gateways. A share under
-    // one send becomes a chance, drawn once for a request and server, so that no further look improves it.
-    // Where this gateway shuns many peers, all may: then the chance falls with those left.
+    // Guards against a cold server being pushed over by all gateways together. Each sends it a share of what
+    // its warm peers get from this same gateway, so the sum holds without division by the gateways. A share
+    // under one send becomes a chance, drawn once for a request and server, so that no further look improves
+    // it. Where this gateway shuns many peers, all may: then the chance falls with those left.
     bool cold_room(Server& s, const Request& r) {
         if (now_ - s.cold_since >= s_.warm_within) return true;
         prune(s);
@@ -673,9 +686,11 @@
         const double age = (now_ - s.cold_since) / s_.warm_within;
         const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
         const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
+        const double sent = static_cast<double>(s.recent.size()),
+                     carried = usual_rate_[role] * s_.fall_window;
+        if (s_.gateways <= kFewGateways) return sent + 1 <= std::max(1.0, share * carried);
         const double draw = fraction(seed_ + r.serial, s.entry.server);
-        const double carried = usual_rate_[role] * s_.fall_window;
-        return static_cast<double>(s.recent.size()) + draw < share * std::max(unshunned_[role], carried);
+        return sent + draw < share * std::max(unshunned_[role], carried);
     }
 
     void prune(Server& s) const {
@@ -699,8 +714,9 @@
         const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
         if (r.stage != streaming) {
             const bool good = o.result == Result::served || o.result == Result::read_done;
-            const bool bad = o.result == Result::late || o.result == Result::error || o.result == Result::reset ||
-                             o.result == Result::unreachable || (o.result == Result::cancelled && r.stopped);
+            const bool bad = o.result == Result::late || o.result == Result::error ||
+                             o.result == Result::reset || o.result == Result::unreachable ||
+                             (o.result == Result::cancelled && r.stopped);
             if (good) s.failed[cls(r)] = -1e18;
             if (bad) s.failed[cls(r)] = now_;
         }
@@ -759,9 +775,10 @@
         s.suspect = true;
         s.suspected = now_;
         // What has waited there tells of this server, not of what is usual.
-        if (sparse()) for (auto& [id, r] : requests_) {
-            if (r.out && r.server == s.entry.server) usual(r.stage, r).out(-std::exchange(r.counted, 0));
-        }
+        if (sparse())
+            for (auto& [id, r] : requests_) {
+                if (r.out && r.server == s.entry.server) usual(r.stage, r).out(-std::exchange(r.counted, 0));
+            }
         s.retry_at = now_ + s.pause;
         s.allow = 1;
         s.errors = 0;
@@ -771,7 +788,8 @@
     // Whether this gateway meets a server too seldom for its own queues to show the load: then the list, the
     // part of a beginning in the traffic and the times seen stand in for them.
     bool sparse() const {
-        return s_.gateways > 1 && usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
+        return s_.gateways > kFewGateways &&
+               usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
     }
 
     // Overload makes all slow: only a minority of a role may be flagged for slowness or failures.
@@ -810,7 +828,8 @@
                 double& e = s->slow[r.stage];
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
-            // One slow server must not raise what is usual; when all are slow, it still grows from age to age.
+            // One slow server must not raise what is usual; when all are slow, it still grows from age to
+            // age.
             if (!s->suspect && (!sparse() || age < 6 * expects)) {
                 usual(r.stage, r).out(dt / r.units);
                 r.counted += dt / r.units;
@@ -842,8 +861,8 @@
         }
     }
 
-    // What this gateway sends a warm server of each role (the most lately: what they carry now may be little for
-    // the same trouble's sake), and the part of the role's servers that it does not shun.
+    // What this gateway sends a warm server of each role (the most lately: what they carry now may be little
+    // for the same trouble's sake), and the part of the role's servers that it does not shun.
     void survey(Millis dt) {
         const double keep = std::exp(-dt / kUsualSpan / 3);
         for (auto& [id, c] : cells_) c.spent *= keep, c.reads *= keep;
