--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -514,8 +514,8 @@
         if (own_zone) {
             double own = 0, all = 0;
             for (const Server* s : fit) {
-                all += pull(*s);
-                if (s->entry.zone == s_.own_zone) own += pull(*s);
+                all += pull(*s) * pull(*s);
+                if (s->entry.zone == s_.own_zone) own += pull(*s) * pull(*s);
             }
             const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
             const bool only = stays || !sparse() || own_zone == near.size();
