--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,7 @@
 constexpr double kSpread = 2;        // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
+constexpr double kRetryLeast = 2;    // further attempts that any gateway starts with
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
 constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
@@ -182,6 +183,7 @@
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
         for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
+        retries_ = retry_least();
     }
 
     void handle(Millis now, const Event& event, std::vector<Action>& actions) {
@@ -948,7 +950,9 @@
     }
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
-    double retry_cap() const { return std::max(20.0, 6000 * arrivals_.read(now_)); }
+    double retry_cap() const { return std::max(retry_least(), 6000 * arrivals_.read(now_)); }
+    // What a gateway that has just started may spend: with many of them, it is their sum that matters.
+    double retry_least() const { return std::clamp(40.0 / s_.gateways, kRetryLeast, 20.0); }
 
     // ---- small helpers --------------------------------------------------------------------------------
 
@@ -989,7 +993,7 @@
     std::map<RequestId, Request> requests_;
     std::map<std::uint64_t, RequestId> by_serial_;
     std::uint64_t serial_ = 0;
-    double retries_ = 20;
+    double retries_ = 0;
     Rate arrivals_;
     Mean prompt_;
     std::map<std::uint64_t, double> beginnings_;
