--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,8 +35,7 @@
 constexpr double kSpread = 2;        // homes of a beginning for each reader's load that it brings
 constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
-constexpr double kRetryLeast = 2;    // further attempts that any gateway starts with
-constexpr double kCheapRetry = 0.25;  // what an attempt after one that did no work takes from the budget
+constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
 constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
@@ -149,7 +148,6 @@
     ServerId reader = 0;
     std::vector<ServerId> failed;  // where an attempt of its failed
     // effects
-    bool cheap = false;  // the last attempt did no work
     bool may_have_run = false;
     ServerId ran_at = 0;
     Millis ran_sent = 0;
@@ -235,7 +233,6 @@
         if (wrote && !never_ran && o.result != Result::read_done && !r.may_have_run) {
             r.may_have_run = true, r.ran_at = o.server, r.ran_sent = r.sent;
         }
-        r.cheap = never_ran;
         if (o.result == Result::full && o.note == 1) hold(r, false);
         if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
         if (o.closed) r.ended = true;
@@ -322,9 +319,8 @@
         if (r.may_have_run && s_.classes[cls(r)].effect == Effect::once) return end(r);
         // Guards against retry storms: each attempt past the ordinary read and write takes from the budget.
         if (r.attempts > (r.state ? 1 : 0)) {
-            const double cost = r.cheap ? kCheapRetry : 1;
-            if (retries_ < cost) return end(r);
-            retries_ -= cost;
+            if (retries_ < 1) return end(r);
+            retries_ -= 1;
         }
         Server* to = nullptr;
         if (!r.state) to = pick_reader(r);
