--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -6,9 +6,9 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <numeric>
 #include <random>
 #include <stdexcept>
-#include <utility>
 
 namespace gorsenotch {
 namespace {
@@ -29,11 +29,10 @@
 constexpr double kQuickTimes = 20;   // a time-out is so many times that quantile
 constexpr double kPatience = 0.4;    // and not under this part of the aim
 constexpr double kCellPrior = 3;     // reads in a cell that outweigh what is usual for all
-constexpr double kCalm = 0.3;        // part of the aim that is quick anyway
-constexpr double kGrudge = 20000;    // ms for which a server that failed a class is left by it, at most
-constexpr int kFewGateways = 4;      // up to so many, own queues show enough of the load
-constexpr double kSpread = 2;        // homes of a beginning for each reader's load that it brings
-constexpr double kManyBegun = 1000;  // beginnings counted before all counts are halved
+constexpr double kPullMost = 1.2;  // what a cell's writers add to its readers' pull at most, or take from it
+constexpr double kCalm = 0.3;      // part of the aim that is quick anyway
+constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
+constexpr int kFewGateways = 4;    // up to so many, own queues show enough of the load
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -50,19 +49,9 @@
     void add(Millis now, double n = 1) { value = read(now) + n / kRateSpan, at = now; }
 };
 
-struct Mean {
-    double value = 0;
-    int samples = 0;
-    void add(double x) {
-        samples = std::min(samples + 1, 30);
-        value += (x - value) / samples;
-    }
-};
-
 // How long a stage usually takes: time spent in it over completions, both fading, so that what is still out
 // counts too and a fresh start is not fooled by the short ones ending first. Fades to what was usual for
-// long, and that to a prior. Measured per unit of queue (see units), so that it tells the servers' pace, not
-// the load.
+// long, and that to a prior. Measured per unit of queue (see units), to tell the servers' pace.
 struct Usual {
     double prior = 1, spent = 0, ended = 0, long_spent = 0, long_ended = 0;
     double slow() const { return (long_spent + 2 * prior) / (long_ended + 2); }  // over ten times as long
@@ -71,14 +60,12 @@
         spent *= keep, ended *= keep;
         long_spent *= long_keep, long_ended *= long_keep;
     }
-    void out(double time) {
-        spent = std::max(0.0, spent + time), long_spent = std::max(0.0, long_spent + time);
-    }
+    void out(double time) { spent += time, long_spent += time; }
     void end() { ++ended, ++long_ended; }
 };
 
-// A low quantile of the times seen, by steps: what most servers do, whatever the rest take. So that a large
-// minority of slow or silent servers does not lengthen the time-outs, while a jam, which slows all, does.
+// A low quantile of the times seen, by steps: what most servers do. A large minority of slow or silent ones
+// does not lengthen the time-outs; a jam, which slows all, does.
 struct Quick {
     double value = 1;
     void add(double x) { value *= std::exp(kQuickStep * (x > value ? kQuickShare : kQuickShare - 1)); }
@@ -142,7 +129,6 @@
     Millis sent = 0, stage_since = 0;
     // Queue at the send: thousands of tokens to read, or sends waiting; for a stream its hinted length.
     double units = 1;
-    double counted = 0;  // time of this stage in what is usual
     // the read state
     bool state = false;
     ServerId reader = 0;
@@ -166,7 +152,6 @@
         bool read = false, write = false;
         for (const auto& k : s_.kinds) read |= k.role != Role::write, write |= k.role != Role::read;
         need(write && (read || s_.local_read), "kinds: some must read and some must write");
-        min_aim_ = s_.classes[0].aim;
         for (const auto& c : s_.classes) {
             need(c.aim > 0, "classes: aim must be above 0");
             need(c.deadline > 0, "classes: deadline must be above 0");
@@ -178,8 +163,7 @@
             typical_[waiting].push_back({c.aim / 12});
             typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
         }
-        quick_[reading].value = typical_[reading][0].prior,
-        quick_[waiting].value = typical_[waiting][0].prior / 4;
+        quick_ = {Quick{typical_[reading][0].prior}, Quick{typical_[waiting][0].prior / 4}};
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
         for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
@@ -209,8 +193,7 @@
         r.serial = ++serial_;
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
-        prompt_.add(a.prompt_tokens);
-        count(a.prefix);
+        prompt_ += (a.prompt_tokens - prompt_) / static_cast<double>(std::min<std::uint64_t>(serial_, 30));
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
@@ -222,7 +205,7 @@
         const auto it = requests_.find(o.request);
         if (it == requests_.end() || !it->second.out || o.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
-        if (r.stage != streaming) quicken(r, o.result);
+        if (r.stage != streaming) quicken(r, o.result == Result::read_done);
         if (server) settle(*server, r, o);
         // A stream that was called off just as it began, and after all is still owed an answer.
         if (!o.closed && r.stage == streaming && r.ended && !r.final) r.ended = false;
@@ -237,9 +220,8 @@
         if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
         if (o.closed) r.ended = true;
         if (r.ended) return finish(r);
-        if (o.result != Result::read_done && !(o.result == Result::full && o.note == 1)) {
-            r.failed.push_back(o.server);
-        }
+        const bool no_state = o.result == Result::full && o.note == 1;
+        if (o.result != Result::read_done && !no_state) r.failed.push_back(o.server);
         // Guards against pinned states: a read whose end was lost, or a state whose reader is only cut off,
         // may still stand there though this gateway heard of none.
         if (!r.state) act(DropState{r.a.request});
@@ -251,7 +233,7 @@
         if (it == requests_.end() || !it->second.out || f.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
         if (Server* s = find(r.server)) {
-            quicken(r, Result::served);
+            quicken(r, true);
             s->failed[cls(r)] = -1e18;
             sample(*s, r, waiting);
             move(*s, r, streaming);
@@ -282,8 +264,7 @@
             if (entry.kind < 0 || entry.kind >= static_cast<int>(s_.kinds.size())) continue;
             auto [it, fresh] = servers_.try_emplace(entry.server);
             Server& s = it->second;
-            // Guards against: a restarted process judged by its past life, and its empty memory taken for
-            // room.
+            // Guards against: a restarted process judged by its past life, and empty memory taken for room.
             if (fresh || entry.started > s.entry.started) {
                 s.suspect = s.was_down = false;
                 s.errors = 0;
@@ -295,7 +276,7 @@
             s.entry = entry;
             s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
         }
-        weigh();
+        survey(0);
     }
 
     void on(const ProbeResult& p) {
@@ -337,8 +318,7 @@
     }
 
     void send(Request& r, Server& s, Stage stage) {
-        r.out = true, r.stopped = false, r.counted = 0, r.stage = stage, r.server = s.entry.server,
-        r.sent = now_;
+        r.out = true, r.stopped = false, r.stage = stage, r.server = s.entry.server, r.sent = now_;
         ++r.attempts;
         ++s.out[stage];
         r.units = s.out[waiting];  // this one counted
@@ -362,13 +342,12 @@
                         std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience * aim(r)));
     }
 
-    // What the time in a stage is measured by: a read by its tokens and those ahead, a wait by the prompt to
-    // fetch.
+    // What a stage's time is measured by: the tokens to read, those ahead too, or the prompt to fetch.
     double span(const Request& r, Stage stage) const {
         return stage == reading ? r.units : 0.2 + r.a.prompt_tokens / 1000;
     }
 
-    void quicken(const Request& r, Result result) {
+    void quicken(const Request& r, bool done) {
         // What a cell's readers and, for states that leave it, its link take of the aims.
         const Server* reader = find(r.stage == reading ? r.server : r.reader);
         const Server* server = find(r.server);
@@ -377,10 +356,8 @@
             c.spent += std::min(1.0, (now_ - r.sent) / aim(r));
             c.reads += r.stage == reading;
         }
-        const bool done = result == Result::served || result == Result::read_done;
-        Quick& quick = quick_[r.stage];
         const double took = (now_ - r.sent) / span(r, r.stage);
-        if (done || took > quick.value) quick.add(took);
+        if (done || took > quick_[r.stage].value) quick_[r.stage].add(took);
     }
 
     static void take_off(Server& s, const Request& r) {
@@ -396,7 +373,7 @@
 
     void move(Server& s, Request& r, Stage to) {
         take_off(s, r);
-        r.stage = to, r.counted = 0;
+        r.stage = to;
         const double pace = s_.classes[cls(r)].token_aim;
         r.units = r.a.length_hint > 0 && pace > 0 ? std::clamp(r.a.length_hint / pace / 100, 0.3, 3.0) : 1;
         ++s.out[to];
@@ -421,8 +398,7 @@
         } else {
             act(Fail{r.a.request});
         }
-        r.final = true;
-        r.ended = true;
+        r.final = r.ended = true;
         let_go(r);
     }
 
@@ -456,15 +432,6 @@
             ->second;
     }
 
-    // Counts how often each beginning comes, fading with the traffic.
-    void count(std::uint64_t prefix) {
-        if (prefix) ++beginnings_[prefix];
-        if (++begun_ < kManyBegun) return;
-        begun_ /= 2;
-        for (auto& [id, n] : beginnings_) n /= 2;
-        std::erase_if(beginnings_, [](const auto& entry) { return entry.second < 0.5; });
-    }
-
     Server* pick_reader(Request& r) {
         Server* writer = nullptr;
         std::vector<Server*> fit;
@@ -496,56 +463,39 @@
             least = std::min(least, load.back());
             sum += load.back();
         }
-        // Of most readers nothing is known here: the few heard of must not draw all from their homes.
+        // Of most readers nothing is known: the few heard of must not draw all from their homes.
         if (sparse()) least = sum / static_cast<double>(fit.size());
         // A prompt read away from its home is read in full. So the margin grows with what home saves:
         // otherwise the first jam scatters the beginnings, each read gets longer, and the jam stays.
         const double saves = std::clamp(r.a.prompt_tokens / (1000 * fresh(r)), kMarginLeast, kMarginMost);
-        const double prompt = prompt_.value / memory(*fit[0]);
+        const double prompt = prompt_ / memory(*fit[0]);
         // The own zone is left sooner: it may have few readers, and there its gateways' reads would jam.
         std::vector<Server*> near;
-        std::size_t own_zone = 0;
+        bool own_zone = false;
         for (std::size_t i = 0; i < fit.size(); ++i) {
             if (load[i] > least + saves * prompt) continue;
             near.push_back(fit[i]);
-            own_zone += fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
+            own_zone |= fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
         }
-        // It reads what its share of the readers covers, taking every zone's clients for as many. Guards
-        // against the readers of a zone with few jamming, unseen in own queues, while others idle. A session
-        // stays put.
+        // Where own queues show too little, a zone reads what its share of the readers covers, taking every
+        // zone for as busy. Guards against a jam in a zone with few readers while others idle.
         if (own_zone) {
             double own = 0, all = 0;
             for (const Server* s : fit) {
-                all += pull(*s) * pull(*s);
-                if (s->entry.zone == s_.own_zone) own += pull(*s) * pull(*s);
+                const double square = pull(*s) * pull(*s);
+                all += square, own += s->entry.zone == s_.own_zone ? square : 0;
             }
-            const bool stays = fraction(r.a.session, 0) * all <= own * s_.zones;
-            const bool only = stays || !sparse() || own_zone == near.size();
-            std::erase_if(near, [&](Server* s) { return (s->entry.zone == s_.own_zone) != only; });
-        }
-        // How many homes a beginning has follows its part of this gateway's traffic, where no queue of its
-        // own would show that one is jammed. Its sessions spread over them; their next turns come to other
-        // gateways.
-        const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session;
-        if (key) {
-            const double readers = static_cast<double>(near.size());
-            const double part = (beginnings_[r.a.prefix] - 1) / (begun_ + readers);
-            const auto homes = std::min(
-                near.size(),
-                1 + (r.a.prefix && sparse() ? static_cast<std::size_t>(kSpread * readers * part) : 0));
-            const auto nearest = [this, &near](std::uint64_t to, std::size_t n) {
-                std::vector<std::pair<double, Server*>> by;  // rendezvous weighted by the servers' pull
-                for (Server* s : near) {
-                    by.push_back({std::log(fraction(to, s->entry.server) + 1e-18) / pull(*s), s});
-                }
-                std::partial_sort(by.begin(), by.begin() + static_cast<std::ptrdiff_t>(n), by.end(),
-                                  [](const auto& x, const auto& y) { return x.first > y.first; });
-                near.clear();
-                for (std::size_t i = 0; i < n; ++i) near.push_back(by[i].second);
-            };
-            nearest(key, homes);
-            if (homes > 1) nearest(r.a.session, 1);
-            return near[0];
+            const bool stays = !sparse() || fraction(r.a.session, 0) * all <= own * s_.zones;
+            const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
+            if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
+        }
+        // Sessions that share a beginning share its home and meet their texts there; the others have their
+        // own. By the list alone, as a next turn comes to another gateway: rendezvous, weighted by pull.
+        if (const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session) {
+            std::vector<std::pair<double, Server*>> by;
+            for (Server* s : near)
+                by.push_back({-std::log(fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
+            return least_of(by);
         }
         std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
@@ -580,64 +530,27 @@
         return least_of(near);
     }
 
-    // The cell whose writers come first for a state at this reader: its own, as far as the cell's share of
-    // the writers covers what is read there; for the rest a cell with writers to spare, the nearer zone
-    // counting double. Guards against the few writers of a cell full of readers drawing all that is read
-    // there, which own queues cannot show when each gateway sends little. May do harm where links between
-    // cells are narrow.
+    // The cell whose writers come first for a state here: the reader's own, as far as its share of the
+    // writers covers what is read in it; else one with writers to spare, the same zone's counting double.
+    // Guards against few writers drawing all that many readers beside them read. Harms where links are
+    // narrow.
     std::uint64_t deal(const Server& reader) {
-        const auto own = cells_.find(reader.entry.cell);
-        if (own == cells_.end() || !sparse()) return reader.entry.cell;
-        if (uniform() * own->second.read <= own->second.write) return reader.entry.cell;
+        const Cell& own = cells_[reader.entry.cell];
+        if (!sparse() || uniform() * own.read <= own.write) return reader.entry.cell;
         const auto spare = [&](const Cell& c) {
             return std::max(0.0, c.write - c.read) * (c.zone == reader.entry.zone ? 2 : 1);
         };
-        double total = 0;
-        for (const auto& [id, c] : cells_) total += spare(c);
-        double left = uniform() * total;
+        double left = 0;
+        for (const auto& [id, c] : cells_) left += spare(c);
+        left *= uniform();
         for (const auto& [id, c] : cells_) {
             if ((left -= spare(c)) < 0) return id;
         }
         return reader.entry.cell;
     }
 
-    // How many reads a reader draws against the others. Half by itself, half by the writers of its cell:
-    // reads far from writers fill the link of their cell.
-    double pull(const Server& s) const {
-        const auto cell = cells_.find(s.entry.cell);
-        return cell == cells_.end() || !sparse() ? 1 : cell->second.pull;
-    }
-
-    // How well a cell's readers and link have done of late against all: below 1 where more of the aim was
-    // spent than elsewhere. Guards against a jam at either, which no queue of this gateway's own shows, and
-    // against zones whose clients are more than their share.
-    double calm(const Cell& c) const {
-        double spent = 0, reads = 0;
-        for (const auto& [id, other] : cells_) spent += other.spent, reads += other.reads;
-        const double usual = reads > 0 ? spent / reads : 0;
-        const double here = (c.spent + kCellPrior * usual) / (c.reads + kCellPrior);
-        return std::clamp((kCalm + usual) / (kCalm + here), 0.3, 1.5);
-    }
-
-    // The cells' shares of what is read and written, by the servers that this gateway does not shun.
-    void weigh() {
-        for (auto& [id, c] : cells_) c.read = c.write = 0;
-        double readers = 0, writers = 0, read = 0;
-        for (const auto& [id, s] : servers_) {
-            if (s.entry.mode != Mode::healthy) continue;
-            Cell& c = cells_[s.entry.cell];
-            c.zone = s.entry.zone;
-            if (s.role == Role::read) ++c.read, ++readers;
-            if (s.writes()) ++c.write, ++writers;
-        }
-        for (auto& [id, c] : cells_) {
-            c.write /= std::max(1.0, writers);
-            if (c.read > 0)
-                c.pull = std::clamp(0.5 + 0.5 * c.write / (c.read / readers), 0.85, 1.2) * calm(c);
-            read += c.read *= c.pull;
-        }
-        for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
-    }
+    // How many reads a reader draws: more where writers are near, as reads far from them fill links.
+    double pull(const Server& s) { return sparse() ? cells_[s.entry.cell].pull : 1; }
 
     // Own streams at the server that have made fewer than the quantum's tokens, at the wanted pace.
     int young(const Server& s) const {
@@ -662,14 +575,12 @@
             if (c.group == Group::cell && ran->entry.cell != s.entry.cell) return false;
         }
         if (!strict) return true;
-        // Guards against a request spent on one server: sick, full or cut off, it looks idle to a gateway
-        // that has nothing else there. Full servers are passed by for all requests.
+        // Guards against a request spent on one server that, sick or full, looks idle from here.
         if (now_ < s.full_until) return false;
         if (std::find(r.failed.begin(), r.failed.end(), s.entry.server) != r.failed.end()) return false;
-        // What failed a class last fails it again, more likely than not, while it may serve the others.
-        // Guards against servers that leave one class unanswered and, where visits are too rare for a flag,
-        // against all sick ones. Covers more than a minority, as what each gateway shuns differs. May do harm
-        // after a jam, as it outlasts it.
+        // What failed a class last may serve the others. Guards against one class unanswered and, where
+        // visits are too rare for flags, all sickness; not only a minority, as gateways differ. Outlasts
+        // jams.
         if (sparse() && now_ - s.failed[cls(r)] < kGrudge) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
@@ -678,9 +589,8 @@
     bool has_room(const Server& s) const { return s.memory_share < kNearFull; }
 
     // Guards against a cold server being pushed over by all gateways together. Each sends it a share of what
-    // its warm peers get from this same gateway, so the sum holds without division by the gateways. A share
-    // under one send becomes a chance, drawn once for a request and server, so that no further look improves
-    // it. Where this gateway shuns many peers, all may: then the chance falls with those left.
+    // its warm peers get from this same gateway, so that the sum holds. A share under one send is a chance,
+    // drawn once for a request and server. Where this gateway shuns many peers, all may: less then.
     bool cold_room(Server& s, const Request& r) {
         if (now_ - s.cold_since >= s_.warm_within) return true;
         prune(s);
@@ -688,8 +598,8 @@
         const double age = (now_ - s.cold_since) / s_.warm_within;
         const double gained = s_.start_capacity + (1 - s_.start_capacity) * age;
         const double share = std::min(gained, kColdSafety * s_.fall_multiple * s_.start_capacity);
-        const double sent = static_cast<double>(s.recent.size()),
-                     carried = usual_rate_[role] * s_.fall_window;
+        const double sent = static_cast<double>(s.recent.size());
+        const double carried = usual_rate_[role] * s_.fall_window;
         if (s_.gateways <= kFewGateways) return sent + 1 <= std::max(1.0, share * carried);
         const double draw = fraction(seed_ + r.serial, s.entry.server);
         return sent + draw < share * std::max(unshunned_[role], carried);
@@ -714,18 +624,10 @@
     // Judges a server by the outcome of an attempt.
     void settle(Server& s, const Request& r, const Outcome& o) {
         const bool early = s.suspect && r.sent < s.suspected;  // tells nothing new of a suspect
-        if (r.stage != streaming) {
-            const bool good = o.result == Result::served || o.result == Result::read_done;
-            const bool bad = o.result == Result::late || o.result == Result::error ||
-                             o.result == Result::reset || o.result == Result::unreachable ||
-                             (o.result == Result::cancelled && r.stopped);
-            if (good) s.failed[cls(r)] = -1e18;
-            if (bad) s.failed[cls(r)] = now_;
-        }
         switch (o.result) {
             case Result::served:
             case Result::read_done:
-                s.answered = now_;
+                s.answered = now_, s.failed[cls(r)] = -1e18;
                 if (o.result == Result::read_done) sample(s, r, reading);
                 if (r.stage == streaming) sample(s, r, streaming);
                 s.errors *= 1 - kErrorStep;
@@ -737,7 +639,7 @@
                 return;
             case Result::unreachable:
             case Result::reset:
-                s.was_down = true;
+                s.was_down = true, s.failed[cls(r)] = now_;
                 if (!early) doubt(s);
                 return;
             case Result::full:
@@ -748,6 +650,7 @@
                 if (r.stopped) return;
                 [[fallthrough]];
             case Result::error:
+                s.failed[cls(r)] = now_;
                 if (early) return;
                 s.errors += kErrorStep * (1 - s.errors);
                 // With few visits no second failure comes in time to confirm the first.
@@ -755,6 +658,7 @@
                 return;
             case Result::cancelled:
                 haunt(s, r);
+                if (r.stopped) s.failed[cls(r)] = now_;
                 return;
             case Result::not_sent:
                 return;
@@ -770,25 +674,14 @@
 
     // A suspect gets nothing for a while, then one request at a time, doubling with each success.
     void doubt(Server& s) {
-        // A trial of a server that is down costs little, one of a slow server a late answer.
-        // Where visits are rare, all gateways' trials together are held down by longer pauses.
+        // A trial of a down server costs little, one of a slow server a late answer; many trials add up.
         const Millis longest = (s.was_down && !sparse() ? 2 : 8) * min_aim_;
         s.pause = std::clamp(2 * s.pause, sparse() ? longest : min_aim_, longest);
-        s.suspect = true;
-        s.suspected = now_;
-        // What has waited there tells of this server, not of what is usual.
-        if (sparse())
-            for (auto& [id, r] : requests_) {
-                if (r.out && r.server == s.entry.server) usual(r.stage, r).out(-std::exchange(r.counted, 0));
-            }
-        s.retry_at = now_ + s.pause;
-        s.allow = 1;
-        s.errors = 0;
-        s.slow = {};
+        s.suspect = true, s.suspected = now_, s.retry_at = now_ + s.pause;
+        s.allow = 1, s.errors = 0, s.slow = {};
     }
 
-    // Whether this gateway meets a server too seldom for its own queues to show the load: then the list, the
-    // part of a beginning in the traffic and the times seen stand in for them.
+    // Whether a server is met too seldom for own queues to show the load: the list and times seen stand in.
     bool sparse() const {
         return s_.gateways > kFewGateways &&
                usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
@@ -830,12 +723,7 @@
                 double& e = s->slow[r.stage];
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
-            // One slow server must not raise what is usual; when all are slow, it still grows from age to
-            // age.
-            if (!s->suspect && (!sparse() || age < 6 * expects)) {
-                usual(r.stage, r).out(dt / r.units);
-                r.counted += dt / r.units;
-            }
+            if (!s->suspect) usual(r.stage, r).out(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
@@ -863,17 +751,23 @@
         }
     }
 
-    // What this gateway sends a warm server of each role (the most lately: what they carry now may be little
-    // for the same trouble's sake), and the part of the role's servers that it does not shun.
+    // By role: the most that this gateway lately sent a warm server and the part of the servers that it does
+    // not shun. By cell: shares of what is read and written and the readers' pull, by the list, so that
+    // gateways agree; less where more of the aim was spent of late. Guards against jams and busier zones.
     void survey(Millis dt) {
         const double keep = std::exp(-dt / kUsualSpan / 3);
-        for (auto& [id, c] : cells_) c.spent *= keep, c.reads *= keep;
-        weigh();
+        double spent = 0, reads = 0, read = 0;
+        for (auto& [id, c] : cells_) {
+            spent += c.spent *= keep, reads += c.reads *= keep;
+            c.read = c.write = 0;
+        }
         std::array<double, 3> sent{}, warm{}, left{}, listed{};
         for (const auto& [id, s] : servers_) {
             if (s.entry.mode != Mode::healthy) continue;
             const auto role = static_cast<std::size_t>(s.role);
             ++listed[role];
+            Cell& c = cells_[s.entry.cell];
+            c.zone = s.entry.zone, c.read += s.role == Role::read, c.write += s.writes();
             if (s.suspect) continue;
             ++left[role];
             if (now_ - s.cold_since < s_.warm_within) continue;
@@ -884,13 +778,25 @@
             if (warm[role] > 0) usual_rate_[role] = std::max(usual_rate_[role], sent[role] / warm[role]);
             if (listed[role] > 0) unshunned_[role] = left[role] / listed[role];
         }
+        const double readers = listed[static_cast<std::size_t>(Role::read)];
+        const double writers = std::accumulate(listed.begin(), listed.end(), 0.0) - readers;
+        const double usual = reads > 0 ? spent / reads : 0;
+        for (auto& [id, c] : cells_) {
+            c.write /= std::max(1.0, writers);
+            if (c.read <= 0) continue;
+            const double here = (c.spent + kCellPrior * usual) / (c.reads + kCellPrior);
+            c.pull = std::clamp(0.5 + 0.5 * c.write * readers / c.read, 1 / kPullMost, kPullMost) *
+                     std::clamp((kCalm + usual) / (kCalm + here), 0.3, 1.5);
+            read += c.read *= c.pull;
+        }
+        for (auto& [id, c] : cells_) c.read /= std::max(1e-9, read);
     }
 
     // Takes own requests off a server that has become slow or silent, within the retry budget.
     void rescue(Server& s) {
         for (auto& [id, r] : requests_) {
             if (!r.out || r.stopped || r.server != s.entry.server || retries_ < 1) continue;
-            // A slow read is moved only while its aim can be met elsewhere, as its work is lost; a silent one
+            // A slow read is moved only while its aim can be met elsewhere, as work is lost; a silent one
             // always.
             if (r.stage == reading && s.answered >= r.sent && now_ - r.sent > 0.8 * aim(r)) continue;
             if (r.stage == streaming && s_.resume) {
@@ -904,8 +810,7 @@
     }
 
     // The wait for a first token that is to be expected now: behind the shortest own read queue, then behind
-    // all own requests still before a stream, those being read among them, as they will join the writers'
-    // queues.
+    // all own requests still before a stream, those being read among them, as they will join those.
     Millis wait(const Request& r) {
         double to_read = 1e18, ahead = 0, writers = 0;
         for (auto& [id, s] : servers_) {
@@ -921,8 +826,7 @@
         return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
-    // Guards against reads for nothing while every writer is down: each is tried again by one request at a
-    // time.
+    // Guards against reads for nothing while every writer is down: each is tried by one request at a time.
     bool writer_in_reach() const {
         return std::any_of(servers_.begin(), servers_.end(), [this](const auto& entry) {
             const Server& s = entry.second;
@@ -951,13 +855,12 @@
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
     double retry_cap() const { return std::max(retry_least(), 6000 * arrivals_.read(now_)); }
-    // What a gateway that has just started may spend: with many of them, it is their sum that matters.
+    // What a gateway starts with: of many, the sum counts.
     double retry_least() const { return std::clamp(40.0 / s_.gateways, kRetryLeast, 20.0); }
 
     // ---- small helpers --------------------------------------------------------------------------------
 
-    // Thousands of tokens that a read must work through: all but the shared beginning, and a little for
-    // itself.
+    // Thousands of tokens that a read must work through: all but the shared beginning, and a little.
     static double fresh(const Request& r) {
         return 0.2 + std::max(0.0, r.a.prompt_tokens - r.a.prefix_tokens) / 1000;
     }
@@ -986,7 +889,7 @@
     Millis now_ = 0;
     std::vector<Action>* actions_ = nullptr;
     bool ticking_ = false;
-    Millis asked_ = 0, checked_ = 0, min_aim_ = 0;
+    Millis asked_ = 0, checked_ = 0, min_aim_ = 1e18;
     double max_worth_ = 1e-9;
     std::map<ServerId, Server> servers_;
     std::map<std::uint64_t, Cell> cells_;
@@ -995,9 +898,7 @@
     std::uint64_t serial_ = 0;
     double retries_ = 0;
     Rate arrivals_;
-    Mean prompt_;
-    std::map<std::uint64_t, double> beginnings_;
-    double begun_ = 0;
+    double prompt_ = 0;  // usual length
     std::array<std::vector<Usual>, 3> typical_;
     std::array<Quick, 2> quick_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
