--- /dev/null
+++ b/tests/many_test.cpp
@@ -0,0 +1,248 @@
+// What only shows with many gateways, each of which sees little: sums over Routers, and picks that own queues
+// cannot make. The same guards are held against few gateways where they act there too.
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include "checker.h"
+
+namespace gorsenotch::test {
+namespace {
+
+// A number of gateways in front of one fleet. Every read and answer succeeds at once but where `fails` says
+// so.
+class Fleet {
+public:
+    Fleet(int gateways, std::vector<ServerEntry> servers) : servers_(std::move(servers)) {
+        settings.gateways = gateways;
+        for (int g = 0; g < gateways; ++g) restart(g, 0);
+    }
+    void restart(int g, Millis now) {
+        if (static_cast<std::size_t>(g) >= routers_.size()) routers_.emplace_back();
+        routers_[static_cast<std::size_t>(g)] = std::make_unique<Bench>(settings, ++seed_);
+        routers_[static_cast<std::size_t>(g)]->feed(now, list(servers_));
+    }
+    void add(const ServerEntry& e, Millis now) {
+        servers_.push_back(e);
+        for (auto& r : routers_) r->feed(now, ListEvent{ListEvent::Form::changes, {e}});
+    }
+    // One request through gateway g; false if it got no answer.
+    bool serve(int g, Millis now, std::uint64_t session, int cls = 0) {
+        Bench& b = *routers_[static_cast<std::size_t>(g)];
+        b.run_to(now);
+        const RequestId id = "r" + std::to_string(++serial_);
+        Arrival a = arrival(id, now);
+        a.session = session, a.cls = cls;
+        b.feed(now, a);
+        for (int attempt = 0;; ++attempt) {
+            const auto sends = b.all<Attempt>();
+            if (sends.size() != 1) return false;
+            const ServerId at = sends[0].server;
+            ++sent[at], sent_at[at].push_back(now);
+            const bool reads = at < 100;
+            if (fails && fails(at, cls)) {
+                b.feed(now + 1, outcome(id, attempt, at, Result::late));
+            } else if (reads) {
+                b.feed(now + 1, outcome(id, attempt, at, Result::read_done));
+            } else {
+                b.feed(now + 2, FirstToken{id, attempt, at, 1});
+                b.feed(now + 3, outcome(id, attempt, at, Result::served, true));
+                return true;
+            }
+        }
+    }
+    std::vector<std::string> breaches() const {
+        std::vector<std::string> all;
+        for (const auto& r : routers_) {
+            all.insert(all.end(), r->checker.breaches.begin(), r->checker.breaches.end());
+        }
+        return all;
+    }
+
+    Settings settings = plain_settings();
+    std::map<ServerId, int> sent;
+    std::map<ServerId, std::deque<Millis>> sent_at;
+    std::function<bool(ServerId, int)> fails;
+
+private:
+    std::vector<ServerEntry> servers_;
+    std::vector<std::unique_ptr<Bench>> routers_;
+    std::uint64_t seed_ = 0, serial_ = 0;
+};
+
+std::vector<ServerEntry> pairs(int n) {
+    std::vector<ServerEntry> servers;
+    for (int i = 1; i <= n; ++i) {
+        servers.push_back(reader(static_cast<ServerId>(i)));
+        servers.push_back(writer(static_cast<ServerId>(100 + i)));
+    }
+    return servers;
+}
+
+class ColdInSum : public ::testing::TestWithParam<int> {};
+
+// Guards against a cold server pushed over by gateways of which each keeps to a budget of its own.
+TEST_P(ColdInSum, StaysWithinTheBudgetAndStillGetsWork) {
+    const int gateways = GetParam();
+    Fleet fleet(gateways, pairs(10));
+    // 120 requests a second over eleven readers in the end: 10.9 each, at 60% of what a warm one can do.
+    const double capacity = 120 / 11.0 / 0.6, per_ms = 0.12;
+    const auto& s = fleet.settings;
+    const Millis started = 5000, warm = started + s.warm_within, end = warm + 5000;
+    int next = 0;
+    bool cold = false;
+    for (Millis now = 10; now < end; now += 1 / per_ms) {
+        if (now >= started && !cold) {
+            ServerEntry e = reader(50);
+            e.started = started;
+            fleet.add(e, now);
+            cold = true;
+        }
+        ++next;
+        if (gateways > 2 && next % 40 == 0) fleet.restart(next / 40 % gateways, now);
+        fleet.serve(next % gateways, now, static_cast<std::uint64_t>(next));
+    }
+    const auto& at = fleet.sent_at[50];
+    std::size_t first = 0, in_warm_up = 0;
+    for (std::size_t i = 0; i < at.size(); ++i) {
+        while (at[first] <= at[i] - s.fall_window) ++first;
+        // Even if it gains nothing: the present capacity is at least that of the start.
+        EXPECT_LE(static_cast<double>(i - first + 1),
+                  s.fall_multiple * s.start_capacity * capacity * s.fall_window / 1000)
+            << "at " << at[i];
+        if (at[i] > warm) break;
+        ++in_warm_up;
+    }
+    EXPECT_GT(in_warm_up, 20u);                  // of 109 that a warm one would get
+    EXPECT_GT(at.size() - in_warm_up, 54u / 2);  // its share comes back
+    EXPECT_EQ(fleet.breaches(), std::vector<std::string>{});
+}
+INSTANTIATE_TEST_SUITE_P(Gateways, ColdInSum, ::testing::Values(2, 120, 200));
+
+// Guards against the few writers of a cell full of readers drawing all that is read there.
+TEST(Many, WritersAreDealtOverTheCells) {
+    Fleet fleet(100, {reader(1, 0), reader(2, 0), reader(3, 0), reader(4, 1), writer(101, 0), writer(102, 1),
+                      writer(103, 1), writer(104, 1)});
+    for (int i = 0; i < 400; ++i) {
+        ASSERT_TRUE(fleet.serve(i % 100, 10 + 10.0 * i, static_cast<std::uint64_t>(i + 1)));
+    }
+    EXPECT_LT(fleet.sent[101], 160);  // an even share is 100; all that is read beside it would be 240 or more
+    EXPECT_GT(fleet.sent[101], 60);
+}
+
+// Guards against the readers of a zone with few jamming while others idle.
+TEST(Many, AZoneWithFewReadersGivesReadsAway) {
+    Fleet fleet(100, {reader(1, 0), reader(2, 1), reader(3, 1), reader(4, 1), reader(5, 1), writer(101, 0),
+                      writer(102, 1), writer(103, 1), writer(104, 1), writer(105, 1)});
+    for (int i = 0; i < 400; ++i) fleet.serve(i % 100, 10 + 10.0 * i, static_cast<std::uint64_t>(i + 1));
+    EXPECT_LT(fleet.sent[1], 220);  // all in the own zone would be 400; a fifth, for two zones, is 160
+    EXPECT_GT(fleet.sent[1], 100);  // and the own zone is still preferred
+}
+
+TEST(Many, ASessionKeepsItsReaderAtAllGateways) {
+    Fleet fleet(100, pairs(12));
+    for (std::uint64_t session = 1; session <= 20; ++session) {
+        fleet.sent.clear();
+        for (int turn = 0; turn < 5; ++turn) {
+            fleet.serve((static_cast<int>(session) * 7 + turn * 13) % 100,
+                        10 + 1000.0 * static_cast<double>(session), session);
+        }
+        int readers = 0;
+        for (const auto& [id, n] : fleet.sent) readers += id < 100;
+        EXPECT_EQ(readers, 1) << "session " << session;
+    }
+}
+
+// Guards against a request spent on one server: it looks idle to a gateway that has nothing else there.
+TEST(Many, ARequestLeavesTheServerThatFailedIt) {
+    for (const int gateways : {2, 100}) {
+        Fleet fleet(gateways, pairs(6));
+        fleet.fails = [](ServerId at, int) { return at == 3 || at == 103; };
+        for (int g = 0; g < gateways; ++g) {
+            for (int i = 0; i < 4; ++i) {
+                const int before = fleet.sent[3], writes = fleet.sent[103];
+                fleet.serve(g, 10 + 1000.0 * i, static_cast<std::uint64_t>(g * 10 + i + 1));
+                EXPECT_LE(fleet.sent[3], before + 1);
+                EXPECT_LE(fleet.sent[103], writes + 1);
+            }
+        }
+        EXPECT_EQ(fleet.breaches(), std::vector<std::string>{});
+    }
+}
+
+// One class left unanswered: it leaves the server, on one failure; the others come back to it after the
+// pause.
+TEST(Many, AClassLeavesServersThatLeaveItUnanswered) {
+    Fleet fleet(100, {reader(1), reader(2), reader(3), writer(101)});
+    fleet.fails = [](ServerId at, int cls) { return at == 1 && cls == 0; };
+    std::uint64_t session = 0;
+    while (!fleet.sent[1]) fleet.serve(0, 10, ++session);
+    fleet.sent.clear();
+    int other = 0;
+    for (int i = 0; i < 60; ++i) {
+        const Millis now = 9000 + 150.0 * i;  // after the pause of a suspect, within the grudge
+        fleet.serve(0, now, ++session, 0);
+        EXPECT_EQ(fleet.sent[1], other);
+        fleet.serve(0, now + 10, ++session, 1);
+        other = fleet.sent[1];
+    }
+    EXPECT_GT(other, 5);
+    for (int i = 0; i < 30; ++i) fleet.serve(0, 31000 + 150.0 * i, ++session, 0);
+    EXPECT_GT(fleet.sent[1], other);  // later it is tried again
+}
+
+// Guards against retry storms of gateways that have only just started: their credits add up.
+TEST(Many, TheRetryCreditOfManyGatewaysIsSmall) {
+    for (const auto& [gateways, most] : {std::pair{2, 20}, std::pair{200, 4}}) {
+        Fleet fleet(gateways, pairs(8));
+        fleet.fails = [](ServerId, int) { return true; };
+        int sends = 0;
+        for (int i = 0; i < 20; ++i) fleet.serve(0, 10, static_cast<std::uint64_t>(i + 1));
+        for (const auto& [id, n] : fleet.sent) sends += n;
+        EXPECT_LE(sends, 20 + most);
+        EXPECT_GT(sends, 2);
+    }
+}
+
+TEST(Many, OddFleetsAreDecidedSensibly) {
+    Fleet empty(200, {});
+    EXPECT_FALSE(empty.serve(0, 10, 1));
+    Fleet one(200, {reader(1), writer(101)});
+    EXPECT_TRUE(one.serve(0, 10, 1));
+    Fleet no_writer(200, {reader(1), reader(2)});
+    EXPECT_FALSE(no_writer.serve(0, 10, 1));
+    Fleet foreign(200, {reader(1, 1), writer(101, 1)});  // nothing in the own zone
+    EXPECT_TRUE(foreign.serve(0, 10, 1));
+    for (Fleet* f : {&empty, &one, &no_writer, &foreign}) {
+        EXPECT_EQ(f->breaches(), std::vector<std::string>{});
+    }
+}
+
+// A rack that restarts at once: half the fleet comes back cold, the sum at each keeps its budget and work
+// goes on.
+TEST(Many, ARackThatRestartsComesBackGently) {
+    Fleet fleet(100, pairs(8));
+    std::uint64_t session = 0;
+    for (Millis now = 10; now < 4000; now += 10) fleet.serve(static_cast<int>(++session % 100), now, session);
+    for (ServerId id = 1; id <= 4; ++id) {
+        ServerEntry e = reader(id);
+        e.started = 4000;
+        fleet.add(e, 4010);
+    }
+    fleet.sent.clear();
+    int served = 0, asked = 0;
+    for (Millis now = 4020; now < 6020; now += 10) {
+        ++asked, served += fleet.serve(static_cast<int>(++session % 100), now, session);
+    }
+    EXPECT_EQ(served, asked);
+    for (ServerId id = 1; id <= 4; ++id) {
+        // 12.5 a second each before, at 60% of what they can do; two seconds.
+        EXPECT_LE(fleet.sent[id], 2.5 * 0.3 * 12.5 / 0.6 * 2);
+    }
+    EXPECT_GT(fleet.sent[1] + fleet.sent[2] + fleet.sent[3] + fleet.sent[4], 10);
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
