--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <numeric>
 
 #include "checker.h"
 
@@ -178,19 +179,24 @@
     Fleet fleet(100, {reader(1), reader(2), reader(3), writer(101)});
     fleet.fails = [](ServerId at, int cls) { return at == 1 && cls == 0; };
     std::uint64_t session = 0;
-    while (!fleet.sent[1]) fleet.serve(0, 10, ++session);
-    fleet.sent.clear();
-    int other = 0;
-    for (int i = 0; i < 60; ++i) {
-        const Millis now = 9000 + 150.0 * i;  // after the pause of a suspect, within the grudge
-        fleet.serve(0, now, ++session, 0);
-        EXPECT_EQ(fleet.sent[1], other);
-        fleet.serve(0, now + 10, ++session, 1);
-        other = fleet.sent[1];
-    }
-    EXPECT_GT(other, 5);
-    for (int i = 0; i < 30; ++i) fleet.serve(0, 31000 + 150.0 * i, ++session, 0);
-    EXPECT_GT(fleet.sent[1], other);  // later it is tried again
+    // How many of the gateways' requests meet reader 1; `who` are those that do.
+    const auto meet = [&](const std::vector<int>& gateways, Millis now, int cls) {
+        std::vector<int> who;
+        for (const int g : gateways) {
+            const int before = fleet.sent[1];
+            fleet.serve(g, now, ++session, cls);
+            if (fleet.sent[1] > before) who.push_back(g);
+        }
+        return who;
+    };
+    std::vector<int> all(100);
+    std::iota(all.begin(), all.end(), 0);
+    const std::vector<int> hurt = meet(all, 10, 0);
+    ASSERT_GT(hurt.size(), 15u);
+    EXPECT_EQ(meet(hurt, 9100, 0).size(), 0u);   // the pause of a suspect is over, the grudge is not
+    EXPECT_GT(meet(hurt, 12000, 1).size(), 3u);  // which is the class's own
+    EXPECT_EQ(meet(hurt, 15000, 0).size(), 0u);
+    EXPECT_GT(meet(hurt, 31000, 0).size(), 3u);  // later it is tried again
 }
 
 // Guards against retry storms of gateways that have only just started: their credits add up.
@@ -225,7 +231,10 @@
 TEST(Many, ARackThatRestartsComesBackGently) {
     Fleet fleet(100, pairs(8));
     std::uint64_t session = 0;
-    for (Millis now = 10; now < 4000; now += 10) fleet.serve(static_cast<int>(++session % 100), now, session);
+    for (Millis now = 10; now < 4000; now += 10) {
+        ++session;
+        fleet.serve(static_cast<int>(session % 100), now, session);
+    }
     for (ServerId id = 1; id <= 4; ++id) {
         ServerEntry e = reader(id);
         e.started = 4000;
@@ -234,7 +243,8 @@
     fleet.sent.clear();
     int served = 0, asked = 0;
     for (Millis now = 4020; now < 6020; now += 10) {
-        ++asked, served += fleet.serve(static_cast<int>(++session % 100), now, session);
+        ++session, ++asked;
+        served += fleet.serve(static_cast<int>(session % 100), now, session);
     }
     EXPECT_EQ(served, asked);
     for (ServerId id = 1; id <= 4; ++id) {
