--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -867,10 +867,9 @@
     Usual& usual(Stage stage, const Request& r) { return typical_[stage][stage == reading ? 0 : cls(r)]; }
     Millis expected(const Request& r, Stage stage) { return usual(stage, r).value() * r.units; }
     std::size_t cls(const Request& r) const { return static_cast<std::size_t>(r.a.cls); }
-    // No later than its client leaves: guards against work for clients with little patience.
     Millis aim(const Request& r) const {
         const ClassSettings& c = s_.classes[cls(r)];
-        return std::min(c.aim + c.aim_per_1000 * r.a.prompt_tokens / 1000, r.a.deadline - r.arrived);
+        return c.aim + c.aim_per_1000 * r.a.prompt_tokens / 1000;
     }
     Millis tick() const { return std::max(s_.step, min_aim_ / 20); }
     Server* find(ServerId id) {
