--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -489,9 +489,13 @@
             const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
             if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
         }
-        // Sessions that share a beginning share its home and meet their texts there; the others have their
-        // own. By the list alone, as a next turn comes to another gateway: rendezvous, weighted by pull.
-        if (const std::uint64_t key = r.a.prefix ? r.a.prefix : r.a.session) {
+        // Sessions that share a beginning share its home and meet their texts there. Not where visits are
+        // rare and a session's own text is the more: it has its own home then, as no queue would show a hot
+        // beginning's jam. By the list alone, as a next turn comes to another gateway: rendezvous, weighted
+        // by pull.
+        const bool own =
+            !r.a.prefix || (sparse() && r.a.session && 2 * r.a.prefix_tokens < r.a.prompt_tokens);
+        if (const std::uint64_t key = own ? r.a.session : r.a.prefix) {
             std::vector<std::pair<double, Server*>> by;
             for (Server* s : near)
                 by.push_back({-std::log(fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
