--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -491,8 +491,7 @@
         }
         // Sessions that share a beginning share its home and meet their texts there. Not where visits are
         // rare and a session's own text is the more: it has its own home then, as no queue would show a hot
-        // beginning's jam. By the list alone, as a next turn comes to another gateway: rendezvous, weighted
-        // by pull.
+        // beginning's jam. By the list, as a next turn comes elsewhere: rendezvous weighted by pull.
         const bool own =
             !r.a.prefix || (sparse() && r.a.session && 2 * r.a.prefix_tokens < r.a.prompt_tokens);
         if (const std::uint64_t key = own ? r.a.session : r.a.prefix) {
@@ -536,8 +535,7 @@
 
     // The cell whose writers come first for a state here: the reader's own, as far as its share of the
     // writers covers what is read in it; else one with writers to spare, the same zone's counting double.
-    // Guards against few writers drawing all that many readers beside them read. Harms where links are
-    // narrow.
+    // Guards against few writers drawing all that many readers there read. Harms where links are narrow.
     std::uint64_t deal(const Server& reader) {
         const Cell& own = cells_[reader.entry.cell];
         if (!sparse() || uniform() * own.read <= own.write) return reader.entry.cell;
@@ -583,8 +581,7 @@
         if (now_ < s.full_until) return false;
         if (std::find(r.failed.begin(), r.failed.end(), s.entry.server) != r.failed.end()) return false;
         // What failed a class last may serve the others. Guards against one class unanswered and, where
-        // visits are too rare for flags, all sickness; not only a minority, as gateways differ. Outlasts
-        // jams.
+        // visits are too rare for flags, all sickness; not a minority alone. Outlasts jams.
         if (sparse() && now_ - s.failed[cls(r)] < kGrudge) return false;
         if (!s.suspect) return true;
         return now_ >= s.retry_at && s.total() < s.allow;
@@ -800,8 +797,7 @@
     void rescue(Server& s) {
         for (auto& [id, r] : requests_) {
             if (!r.out || r.stopped || r.server != s.entry.server || retries_ < 1) continue;
-            // A slow read is moved only while its aim can be met elsewhere, as work is lost; a silent one
-            // always.
+            // A slow read is moved only while its aim can be met, as it is lost work; a silent one always.
             if (r.stage == reading && s.answered >= r.sent && now_ - r.sent > 0.8 * aim(r)) continue;
             if (r.stage == streaming && s_.resume) {
                 retries_ -= 1;
