--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -78,7 +78,9 @@
     return x ^ (x >> 31);
 }
 
-double fraction(std::uint64_t a, std::uint64_t b) { return static_cast<double>(mix(a, b) >> 11) * 0x1p-53; }
+// Random bits as a number from 0 up to, but not, 1.
+double unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) * 0x1p-53; }
+double fraction(std::uint64_t a, std::uint64_t b) { return unit(mix(a, b)); }
 
 struct Server {
     ServerEntry entry;
@@ -216,11 +218,11 @@
         if (wrote && !never_ran && o.result != Result::read_done && !r.may_have_run) {
             r.may_have_run = true, r.ran_at = o.server, r.ran_sent = r.sent;
         }
-        if (o.result == Result::full && o.note == 1) hold(r, false);
+        const bool no_state = o.result == Result::full && o.note == 1;
+        if (no_state) hold(r, false);
         if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
         if (o.closed) r.ended = true;
         if (r.ended) return finish(r);
-        const bool no_state = o.result == Result::full && o.note == 1;
         if (o.result != Result::read_done && !no_state) r.failed.push_back(o.server);
         // Guards against pinned states: a read whose end was lost, or a state whose reader is only cut off,
         // may still stand there though this gateway heard of none.
@@ -876,7 +878,7 @@
         const auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
-    double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+    double uniform() { return unit(random_()); }
     void ask() {
         asked_ = now_;
         act(Subscribe{});
