--- /dev/null
+++ b/src/standin/engine.cpp
@@ -0,0 +1,492 @@
+#include "standin/engine.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "front/chat.h"
+#include "http/sse.h"
+
+namespace gorsenotch::standin {
+
+using rules::Json;
+
+class Engine::Link {
+public:
+    Link(Engine& e, std::unique_ptr<net::Stream> s, bool control)
+        : engine(e), stream(std::move(s)), parser(http::Parser::Kind::request, {}), is_control(control) {
+        peer = stream->peer();
+        stream->on_data = [this](std::string_view b) { data(b); };
+        stream->on_end = [this](int) { engine.closed(*this); };
+        parser.on_body = [this](std::string_view b) { body.append(b); };
+        stream->read(true);
+    }
+
+    void data(std::string_view bytes) {
+        pending.append(bytes);
+        go_on();
+    }
+
+    // Takes the next request, when the last is answered and nothing is cut.
+    void go_on() {
+        if (cut && engine.is_cut(*this)) return;
+        while (!busy && !pending.empty() && stream) {
+            const std::string bytes = std::exchange(pending, {});
+            const std::size_t n = parser.feed(bytes);
+            if (parser.fault() != http::Fault::none) return engine.closed(*this);
+            if (!parser.complete()) return;
+            pending = bytes.substr(n);
+            busy = true;
+            const std::string whole = std::exchange(body, {});
+            request_body = whole;
+            engine.handle(*this);
+        }
+    }
+
+    void write(std::string bytes) {
+        if (!stream) return;
+        if (engine.is_cut(*this)) {
+            held.append(bytes);
+            return;
+        }
+        stream->write(std::exchange(held, {}) + bytes);
+    }
+
+    void answer(int status, const Json& json, const std::string& load) {
+        const std::string text = json.dump();
+        const auto* c = http::find(parser.headers, "connection");
+        const bool last = c && *c == "close";
+        http::Headers h = {{"content-type", "application/json"},
+                           {"content-length", std::to_string(text.size())}};
+        if (!load.empty()) h.emplace_back("endpoint-load-metrics", load);
+        if (last) h.emplace_back("connection", "close");
+        write(http::response_head(status, h) + text);
+        if (last && stream) stream->shut();
+        busy = false;
+    }
+
+    Engine& engine;
+    std::unique_ptr<net::Stream> stream;
+    http::Parser parser;
+    std::string peer, body, request_body, pending, held, ask;
+    bool is_control, busy = false, cut = false, gone = false;
+    std::list<std::unique_ptr<Link>>::iterator self;
+};
+
+struct Engine::Take {
+    std::unique_ptr<net::Stream> stream;
+    std::unique_ptr<net::Timer> timer;
+    http::Parser parser{http::Parser::Kind::response, {}};
+    std::string id;
+    bool over = false;
+    std::list<std::unique_ptr<Take>>::iterator self;
+};
+
+namespace {
+
+Config cold_config(const EngineOptions& o) {
+    Config c = o.config;
+    if (!o.cold) c.warm = 0;
+    return c;
+}
+
+Json error_json(const char* type, const char* message) {
+    return {{"error", {{"message", message}, {"type", type}, {"code", nullptr}}}};
+}
+
+}  // namespace
+
+Engine::Engine(net::Loop& loop, EngineOptions options)
+    : loop_(loop),
+      o_(std::move(options)),
+      recorder_(o_.record),
+      model_(cold_config(o_), net::now(),
+             {[this](const std::string& id, double kept) { read_done(id, kept); },
+              [this](const std::string& id) { fetch(id); }, [this](const std::string& id) { running(id); },
+              [this](const std::string& id, const std::string& t, bool last, bool cut) {
+                  token(id, t, last, cut);
+              },
+              [this](const std::string& id) {
+                  record("lease", {{"id", id}});
+              }}),
+      timer_(loop, [this] { arm(); }),
+      burier_(loop, [this] { dead_.clear(), dead_takes_.clear(); }) {}
+
+Engine::~Engine() = default;
+
+int Engine::start() {
+    listener_ = std::make_unique<net::Listener>(loop_);
+    listener_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s), false); };
+    if (const int e = listener_->listen(o_.address)) return e;
+    if (!o_.control.empty()) {
+        control_ = std::make_unique<net::Listener>(loop_);
+        control_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s), true); };
+        if (const int e = control_->listen(o_.control)) return e;
+    }
+    const Config& c = o_.config;
+    record("up", {{"role", c.role == Role::read    ? "read"
+                           : c.role == Role::write ? "write"
+                                                   : "both"},
+                  {"cold", o_.cold},
+                  {"start", c.start_capacity},
+                  {"warm", c.warm}});
+    arm();
+    return 0;
+}
+
+void Engine::record(const char* event, Json fields) {
+    fields["server"] = o_.server;
+    recorder_.write(net::now(), event, std::move(fields));
+}
+
+void Engine::arm() {
+    const Millis now = net::now();
+    const Millis next = model_.advance(now);
+    if (reports_.empty() || now - reports_.back().first > 20)
+        reports_.emplace_back(now, model_.memory_share());
+    while (reports_.size() > 1 && reports_[1].first <= now - report_delay_) reports_.pop_front();
+    timer_.after(std::min(next - now, 1000.0));
+}
+
+std::string Engine::load_header() {
+    const double share =
+        report_delay_ > 0 && !reports_.empty() ? reports_.front().second : model_.memory_share();
+    return "TEXT named_metrics.kv_cache_usage_perc=" + std::to_string(share) +
+           ", named_metrics.waiting_ktokens=" + std::to_string(model_.waiting_ktokens());
+}
+
+bool Engine::is_cut(const Link& link) const {
+    if (link.is_control) return false;
+    return std::any_of(cut_from_.begin(), cut_from_.end(),
+                       [&](const std::string& from) { return link.peer.rfind(from, 0) == 0; });
+}
+
+void Engine::accept(std::unique_ptr<net::Stream> s, bool control) {
+    links_.push_back(std::make_unique<Link>(*this, std::move(s), control));
+    links_.back()->self = std::prev(links_.end());
+    links_.back()->cut = true;
+}
+
+void Engine::handle(Link& link) {
+    const std::string body = std::exchange(link.request_body, {});
+    const std::string path = link.parser.target;
+    if (link.is_control) return order(link, body);
+    if (path == "/v1/chat/completions") return complete(link, body);
+    if (path == "/abort_request") return abort(link, body);
+    if (path == "/take") return take(link, body);
+    link.answer(404, error_json("not_found", "no such path"), "");
+}
+
+void Engine::complete(Link& link, const std::string& body) {
+    std::string why;
+    const Json j = front::parse_json(body, why);
+    if (!j.is_object() || !j.contains("messages"))
+        return link.answer(400, error_json("invalid_request_error", "bad body"), load_header());
+    Ask ask;
+    ask.link = &link;
+    const auto header = [&](const char* name) {
+        const auto* v = http::find(link.parser.headers, name);
+        return v ? *v : std::string();
+    };
+    ask.job.id = header("x-request-id"), ask.job.key = header("idempotency-key"),
+    ask.job.cls = header("x-class");
+    ask.job.max_tokens = std::max(1, j.value("max_tokens", 16));
+    std::uint64_t chain = 0;
+    for (const auto& m : j["messages"]) {
+        const std::string text = m.value("content", "");
+        chain = front::hash(text, chain + front::hash(m.value("role", "")));
+        ask.job.prompt += front::estimate_tokens(text) + 4;
+        ask.job.prefixes.emplace_back(chain, ask.job.prompt);
+    }
+    ask.job.text_seed = chain;
+    const Json kv = j.contains("kv_transfer_params") && j["kv_transfer_params"].is_object()
+                        ? j["kv_transfer_params"]
+                        : Json::object();
+    ask.read = kv.value("do_remote_decode", false);
+    if (kv.value("do_remote_prefill", false)) {
+        ask.job.has_state = true;
+        ask.host = kv.value("remote_host", ""), ask.port = kv.value("remote_port", 0);
+        ask.remote = kv.value("remote_request_id", ""), ask.cached = kv.value("cached_tokens", 0L);
+    }
+    const std::string id = ask.job.id;
+    record("recv", {{"id", id},
+                    {"op", ask.read ? "read" : "write"},
+                    {"key", ask.job.key},
+                    {"cls", ask.job.cls},
+                    {"work", model_.work(ask.job, ask.read)},
+                    {"peer", link.peer}});
+    const auto refuse = [&](int status, const char* type, const char* how) {
+        record("end", {{"id", id}, {"how", how}});
+        link.answer(status, error_json(type, how), load_header());
+    };
+    if (id.empty() || asks_.count(id)) return refuse(400, "invalid_request_error", "doubled");
+    if (error_classes_.count("") || error_classes_.count(ask.job.cls))
+        return refuse(500, "internal_error", "error");
+    link.ask = id;
+    if (silent_classes_.count("") || silent_classes_.count(ask.job.cls)) {
+        ask.silent = true;
+        asks_[id] = std::move(ask);
+        return;
+    }
+    const bool read = ask.read;
+    const Job job = ask.job;
+    asks_[id] = std::move(ask);
+    const auto admit = read ? model_.read(net::now(), job) : model_.write(net::now(), job);
+    if (admit == Model::Admit::taken) return arm();
+    asks_.erase(id);
+    link.ask.clear();
+    if (admit == Model::Admit::no_state) return refuse(424, "kv_transfer_error", "no_state");
+    refuse(429, "overloaded", "full");
+}
+
+void Engine::abort(Link& link, const std::string& body) {
+    const Json j = Json::parse(body, nullptr, false);
+    const std::string id = j.is_object() ? j.value("rid", "") : "";
+    record("let_go", {{"id", id}, {"found", model_.abort(net::now(), id)}});
+    if (const auto it = asks_.find(id); it != asks_.end()) {
+        Link* waiting = it->second.link;
+        end(id, "cancelled");
+        if (waiting) waiting->answer(499, error_json("aborted", "aborted"), load_header());
+    }
+    link.answer(200, Json::object(), "");
+    arm();
+}
+
+void Engine::take(Link& link, const std::string& body) {
+    const Json j = Json::parse(body, nullptr, false);
+    const std::string id = j.is_object() ? j.value("rid", "") : "";
+    double tokens = 0;
+    const bool ok = model_.take(net::now(), id, tokens);
+    if (ok) record("taken", {{"id", id}, {"tokens", tokens}});
+    link.answer(ok ? 200 : 404, {{"tokens", tokens}}, "");
+    arm();
+}
+
+void Engine::order(Link& link, const std::string& body) {
+    const Json j = Json::parse(body, nullptr, false);
+    const std::string word = j.is_object() ? j.value("order", "") : "";
+    const bool on = j.is_object() && j.value("on", true);
+    const Millis now = net::now();
+    const auto set = [&](std::set<std::string>& s, const std::string& value) {
+        if (on) {
+            s.insert(value);
+        } else {
+            s.erase(value);
+        }
+    };
+    bool known = true;
+    if (word == "crash") _exit(3);
+    if (word == "stall") {
+        model_.stall(now, on);
+    } else if (word == "slow") {
+        model_.slow(now, on ? j.value("factor", 5.0) : 1.0);
+    } else if (word == "error") {
+        set(error_classes_, j.value("class", ""));
+    } else if (word == "silent") {
+        set(silent_classes_, j.value("class", ""));
+    } else if (word == "cut") {
+        set(cut_from_, j.value("from", ""));
+        if (!on) {
+            std::vector<Link*> all;
+            for (auto& l : links_) all.push_back(l.get());
+            for (auto* l : all) {
+                if (!l->gone) l->write(""), l->go_on();
+            }
+        }
+    } else if (word == "late_reports") {
+        report_delay_ = on ? j.value("ms", 2000.0) : 0;
+    } else {
+        known = false;
+    }
+    if (known) record("order", j);
+    link.answer(known ? 200 : 400, {{"ok", known}}, "");
+    arm();
+}
+
+// ---- what the model tells -------------------------------------------------------------------------------
+
+void Engine::read_done(const std::string& id, double kept) {
+    record("held", {{"id", id}});
+    const auto it = asks_.find(id);
+    if (it == asks_.end()) return;  // its asker has gone and the kind does not cancel: the state stays
+    Link* link = it->second.link;
+    const double prompt = it->second.job.prompt;
+    end(id, "done");
+    if (!link) return;
+    link->answer(200,
+                 {{"id", "cmpl-" + id},
+                  {"object", "chat.completion"},
+                  {"model", o_.model_name},
+                  {"choices", Json::array({{{"index", 0},
+                                            {"message", {{"role", "assistant"}, {"content", "x"}}},
+                                            {"finish_reason", "length"}}})},
+                  {"usage",
+                   {{"prompt_tokens", static_cast<long>(prompt)},
+                    {"completion_tokens", 1},
+                    {"total_tokens", static_cast<long>(prompt) + 1},
+                    {"prompt_tokens_details", {{"cached_tokens", static_cast<long>(kept)}}}}},
+                  {"kv_transfer_params",
+                   {{"do_remote_prefill", true},
+                    {"do_remote_decode", false},
+                    {"remote_engine_id", std::to_string(o_.server)},
+                    {"remote_block_ids", Json::array({1})},
+                    {"remote_request_id", id},
+                    {"cached_tokens", static_cast<long>(kept)},
+                    {"remote_host", o_.address.substr(0, o_.address.rfind(':'))},
+                    {"remote_port", port()}}}},
+                 load_header());
+    link->go_on();
+}
+
+void Engine::fetch(const std::string& id) {
+    const auto it = asks_.find(id);
+    takes_.push_back(std::make_unique<Take>());
+    Take& t = *takes_.back();
+    t.self = std::prev(takes_.end());
+    t.id = id;
+    t.stream = std::make_unique<net::Stream>(loop_);
+    t.timer = std::make_unique<net::Timer>(loop_, [this, &t] { fetch_over(t, false); });
+    t.parser.on_complete = [this, &t] { fetch_over(t, t.parser.status == 200); };
+    t.stream->on_data = [&t](std::string_view b) {
+        if (!t.over) t.parser.feed(b);
+    };
+    t.stream->on_end = [this, &t](int) { fetch_over(t, false); };
+    const std::string from = o_.address.substr(0, o_.address.rfind(':'));
+    const std::string to = it == asks_.end() ? "" : it->second.host + ":" + std::to_string(it->second.port);
+    const int error = t.stream->connect(to, from, [this, &t](int e) {
+        if (e != 0) return fetch_over(t, false);
+        const auto a = asks_.find(t.id);
+        const std::string text = Json{{"rid", a == asks_.end() ? "" : a->second.remote}}.dump();
+        t.stream->read(true);
+        t.stream->write(
+            http::request_head("POST", "/take",
+                               {{"host", "peer"}, {"content-length", std::to_string(text.size())}}) +
+            text);
+    });
+    t.timer->after(error != 0 ? 0 : 2000);
+}
+
+void Engine::fetch_over(Take& t, bool ok) {
+    if (t.over) return;
+    t.over = true;
+    t.stream.reset();
+    t.timer->stop();
+    const std::string id = t.id;
+    dead_takes_.splice(dead_takes_.end(), takes_, t.self);
+    burier_.after(0);
+    model_.fetched(net::now(), id, ok);
+    if (!ok) {
+        if (const auto it = asks_.find(id); it != asks_.end()) {
+            Link* link = it->second.link;
+            end(id, "no_state");
+            if (link) link->answer(424, error_json("kv_transfer_error", "the state is gone"), load_header());
+            if (link) link->go_on();
+        }
+    }
+    arm();
+}
+
+// The first of all engines that share a folder to run a key has its effect; the others answer alike without.
+bool Engine::first_effect(const std::string& key) {
+    if (key.empty()) return true;
+    if (o_.keys.empty()) return own_keys_.insert(key).second;
+    const std::string file = o_.keys + "/" + std::to_string(front::hash(key));
+    const int fd = ::open(file.c_str(), O_CREAT | O_EXCL | O_WRONLY | O_CLOEXEC, 0644);
+    if (fd >= 0) ::close(fd);
+    return fd >= 0;
+}
+
+void Engine::running(const std::string& id) {
+    const auto it = asks_.find(id);
+    if (it == asks_.end()) return;
+    const bool first = first_effect(it->second.job.key);
+    record(first ? "run" : "repeat", {{"id", id}, {"key", it->second.job.key}, {"cls", it->second.job.cls}});
+}
+
+void Engine::token(const std::string& id, const std::string& text, bool last, bool cut) {
+    const auto it = asks_.find(id);
+    if (it == asks_.end()) return;
+    Ask& a = it->second;
+    ++a.made;
+    if (!a.begun) record("first", {{"id", id}});
+    if (a.link) {
+        std::string out;
+        if (!a.begun) {
+            out = http::response_head(200, {{"content-type", "text/event-stream; charset=utf-8"},
+                                            {"transfer-encoding", "chunked"},
+                                            {"endpoint-load-metrics", load_header()}});
+        }
+        const Json base = {
+            {"id", "chatcmpl-" + id}, {"object", "chat.completion.chunk"}, {"model", o_.model_name}};
+        const auto event = [&](Json choices, const Json* usage) {
+            Json e = base;
+            e["choices"] = std::move(choices);
+            if (usage) e["usage"] = *usage;
+            out += http::chunk(http::sse_event("", e.dump()));
+        };
+        if (!a.begun)
+            event(Json::array({{{"index", 0},
+                                {"delta", {{"role", "assistant"}, {"content", ""}}},
+                                {"finish_reason", nullptr}}}),
+                  nullptr);
+        event(Json::array({{{"index", 0}, {"delta", {{"content", text}}}, {"finish_reason", nullptr}}}),
+              nullptr);
+        if (last) {
+            event(
+                Json::array(
+                    {{{"index", 0}, {"delta", Json::object()}, {"finish_reason", cut ? "length" : "stop"}}}),
+                nullptr);
+            const Json usage = {{"prompt_tokens", static_cast<long>(a.job.prompt)},
+                                {"completion_tokens", a.made},
+                                {"total_tokens", static_cast<long>(a.job.prompt) + a.made},
+                                {"prompt_tokens_details", {{"cached_tokens", a.cached}}}};
+            event(Json::array(), &usage);
+            out += http::chunk(http::sse_event("", "[DONE]"));
+            out += http::last_chunk;
+        }
+        a.link->write(std::move(out));
+    }
+    a.begun = true;
+    if (!last) return;
+    Link* link = a.link;
+    end(id, "done");
+    if (!link) return;
+    link->busy = false;
+    link->go_on();
+}
+
+void Engine::end(const std::string& id, const char* how) {
+    const auto it = asks_.find(id);
+    if (it == asks_.end()) return;
+    record("end", {{"id", id}, {"how", how}, {"tokens", it->second.made}});
+    if (it->second.link) it->second.link->ask.clear();
+    asks_.erase(it);
+}
+
+void Engine::closed(Link& link) {
+    if (link.gone) return;
+    const std::string id = link.ask;
+    if (const auto it = asks_.find(id); !id.empty() && it != asks_.end()) {
+        // Where the kind cancels, a closed connection ends the work; else it goes on for nobody.
+        if (o_.config.pace.cancels || it->second.silent) {
+            if (!it->second.silent) model_.abort(net::now(), id);
+            end(id, "cancelled");
+        } else {
+            record("left", {{"id", id}});
+            it->second.link = nullptr;
+        }
+    }
+    remove(link);
+    arm();
+}
+
+void Engine::remove(Link& link) {
+    link.gone = true;
+    link.stream.reset();
+    dead_.splice(dead_.end(), links_, link.self);
+    burier_.after(0);
+}
+
+}  // namespace gorsenotch::standin
--- /dev/null
+++ b/src/standin/engine.h
@@ -0,0 +1,88 @@
+// A stand-in engine as a process: the model behind sockets, speaking the vLLM dialect, with a control port on
+// which a script gives orders, and a record of what its sockets carried.
+//
+// Orders (POST /control, JSON {"order":...}): stall{on}, slow{factor}, error{on,class}, silent{on,class},
+// cut{on,from}, late_reports{ms}, crash. An empty class means all. `cut` neither reads nor writes on
+// connections from addresses that begin with `from`, as a network does that drops packets.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "http/parser.h"
+#include "net/loop.h"
+#include "rules/record.h"
+#include "standin/model.h"
+
+namespace gorsenotch::standin {
+
+struct EngineOptions {
+    std::string address, control;  // control may be empty
+    std::string record;            // file; empty: none
+    std::string keys;  // folder shared by the engines that drop each other's repeats; empty: own memory
+    ServerId server = 0;
+    std::string model_name = "local-model";
+    Config config;
+    bool cold = false;
+};
+
+class Engine {
+public:
+    Engine(net::Loop& loop, EngineOptions options);
+    ~Engine();
+    int start();  // 0 or a libuv error of listening
+    int port() const { return listener_->port(); }
+    int control_port() const { return control_ ? control_->port() : 0; }
+
+private:
+    class Link;
+    struct Ask {  // a request to this engine that is not answered yet
+        Link* link = nullptr;
+        Job job;
+        bool read = false, begun = false, repeat = false, silent = false;
+        std::string host, remote;  // of the state: where, and under which read's id
+        int port = 0, made = 0;
+        long cached = 0;
+    };
+    struct Take;  // a fetch of a state from its reader
+
+    void accept(std::unique_ptr<net::Stream> s, bool control);
+    void handle(Link& link);
+    void complete(Link& link, const std::string& body);
+    void abort(Link& link, const std::string& body);
+    void take(Link& link, const std::string& body);
+    void order(Link& link, const std::string& body);
+    void closed(Link& link);
+    void remove(Link& link);
+    void read_done(const std::string& id, double kept);
+    void fetch(const std::string& id);
+    void fetch_over(Take& take, bool ok);
+    void running(const std::string& id);
+    void token(const std::string& id, const std::string& text, bool last, bool cut);
+    void end(const std::string& id, const char* how);
+    bool first_effect(const std::string& key);
+    std::string load_header();
+    bool is_cut(const Link& link) const;
+    void record(const char* event, rules::Json fields);
+    void arm();
+
+    net::Loop& loop_;
+    EngineOptions o_;
+    rules::Recorder recorder_;
+    Model model_;
+    std::unique_ptr<net::Listener> listener_, control_;
+    std::list<std::unique_ptr<Link>> links_, dead_;
+    std::list<std::unique_ptr<Take>> takes_, dead_takes_;
+    std::unordered_map<std::string, Ask> asks_;
+    std::set<std::string> own_keys_;
+    std::set<std::string> error_classes_, silent_classes_, cut_from_;
+    std::deque<std::pair<Millis, double>> reports_;  // memory share by time, for late reports
+    Millis report_delay_ = 0;
+    net::Timer timer_, burier_;
+};
+
+}  // namespace gorsenotch::standin
