--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -10,10 +10,10 @@
 #include <iostream>
 
 #include "day/day.h"
-#include "gateway/journal.h"
 #include "gateway/serve.h"
 #include "log/log.h"
 #include "standin/engine.h"
+#include "state/journal.h"
 
 namespace {
 
@@ -91,6 +91,7 @@
     std::string file, kind, address, control, record, keys;
     ServerId server = 0;
     bool cold = false;
+    std::vector<std::string> args;
 };
 
 std::optional<standin::EngineOptions> engine_options(const settings::Program& p, const StandinArgs& a) {
@@ -101,7 +102,7 @@
     }
     standin::EngineOptions o;
     o.address = a.address, o.control = a.control, o.record = a.record, o.keys = a.keys;
-    o.server = a.server, o.cold = a.cold;
+    o.server = a.server, o.cold = a.cold, o.args = a.args;
     o.model_name = p.models.front();
     const auto& k = p.module.kinds[static_cast<std::size_t>(kind)];
     o.config.role = k.role, o.config.memory_tokens = k.memory_tokens, o.config.pace = p.standins.at(kind);
@@ -189,7 +190,7 @@
         return kRefused;
     }
     try {
-        const auto r = gateway::replay(in, p->module);
+        const auto r = state::replay(in, p->module);
         std::cout << r.events << " events, " << r.actions
                   << " actions: " << (r.difference.empty() ? "the same" : "DIFFERENT, " + r.difference)
                   << '\n';
@@ -305,6 +306,7 @@
     client_cmd->add_option("--usual-answer", client.load.usual_answer);
     client_cmd->add_option("--seed", client.seed);
     client_cmd->add_option("--length-ms", client.length);
+    client_cmd->add_option("--from-ms", client.load.from);
     client_cmd->add_option("--overdue-ms", client.overdue);
     client_cmd->add_option("--record", client.record);
     client_cmd->add_flag("--whole", whole);
@@ -325,7 +327,10 @@
         std::cout << check_file << ": good\n";
         return 0;
     }
-    if (*standin_cmd) return run_standin(standin);
+    if (*standin_cmd) {
+        standin.args.assign(argv, argv + argc);
+        return run_standin(standin);
+    }
     if (*up_cmd) return run_up(up_file, up_listen);
     if (*replay_cmd) return run_replay(replay_settings, replay_journal, serve);
     if (*client_cmd) {
--- a/src/day/client.cpp
+++ b/src/day/client.cpp
@@ -68,7 +68,7 @@
 void Clients::start(std::function<void()> done) {
     done_ = std::move(done);
     began_ = net::now();
-    arrivals_.after(0);
+    arrivals_.after(o_.load.from);
 }
 
 void Clients::next_arrival() {
--- a/src/day/client.h
+++ b/src/day/client.h
@@ -23,7 +23,8 @@
     int prompt_tokens = 600, prefix_tokens = 400, prefixes = 4, max_tokens = 40, turns = 2, retries = 1;
     Millis think = 500, patience = 5000;
     bool stream = true, keyed = false;
-    int usual_answer = 60;  // the stand-ins' answer-tokens, to know the right text
+    Millis from = 0, until = 0;  // of the day, when conversations arrive; until 0: to its end
+    int usual_answer = 60;       // the stand-ins' answer-tokens, to know the right text
 };
 
 struct ClientOptions {
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -249,7 +249,8 @@
             "--patience-ms",   n(l.patience),
             "--usual-answer",  std::to_string(l.usual_answer),
             "--seed",          std::to_string(seed_ * 100 + i),
-            "--length-ms",     n(plan_.length),
+            "--length-ms",     n(l.until > 0 ? std::min(l.until, plan_.length) : plan_.length),
+            "--from-ms",       n(l.from),
             "--overdue-ms",    n(plan_.program.module.answer_slack + 400),
             "--record",        o_.out + "/records/client-" + std::to_string(i) + ".ndjson"};
         if (!l.stream) args.push_back("--whole");
--- a/src/day/plan.cpp
+++ b/src/day/plan.cpp
@@ -54,6 +54,9 @@
         l.prefixes = e.whole("prefixes"), l.max_tokens = e.whole("max-tokens"), l.turns = e.whole("turns");
         l.retries = e.whole("retries"), l.think = e.number("think-ms"), l.patience = e.number("patience-ms");
         l.stream = e.yes("stream"), l.keyed = e.yes("keyed");
+        l.from = e.number("from-ms"), l.until = e.number("until-ms");
+        if (l.from >= plan.length || (l.until > 0 && l.until <= l.from))
+            faults.push_back({e.line(), e.name(), "nothing would arrive between from-ms and until-ms"});
         for (const auto& [kind, s] : p.standins) {
             if (p.module.kinds[static_cast<std::size_t>(kind)].role != Role::read)
                 l.usual_answer = s.answer_tokens;
--- a/src/front/messages.cpp
+++ b/src/front/messages.cpp
@@ -8,6 +8,8 @@
 namespace gorsenotch::front::messages {
 namespace {
 
+using Out = nlohmann::ordered_json;  // members in the order in which the reference shows them
+
 ApiError bad(const std::string& path, const std::string& why) {
     return {400, "invalid_request_error", path.empty() ? why : path + ": " + why};
 }
@@ -166,7 +168,7 @@
     r.session = hash(first.text, hash(r.user, r.prefix));
 }
 
-std::string event(const char* name, const Json& data) { return http::sse_event(name, data.dump()); }
+std::string event(const char* name, const Out& data) { return http::sse_event(name, data.dump()); }
 
 const char* stop_reason(Stop s) {
     switch (s) {
@@ -181,7 +183,7 @@
     }
 }
 
-Json usage_json(const Usage& u) {
+Out usage_json(const Usage& u) {
     return {{"input_tokens", u.input - u.cached},
             {"cache_creation_input_tokens", 0},
             {"cache_read_input_tokens", u.cached},
@@ -195,16 +197,16 @@
 
 protected:
     std::string on_begin() override {
-        const Json start = {{"type", "message_start"},
-                            {"message",
-                             {{"id", id_},
-                              {"type", "message"},
-                              {"role", "assistant"},
-                              {"model", model_},
-                              {"content", Json::array()},
-                              {"stop_reason", nullptr},
-                              {"stop_sequence", nullptr},
-                              {"usage", usage_json({input_, 0, 0})}}}};
+        const Out start = {{"type", "message_start"},
+                           {"message",
+                            {{"id", id_},
+                             {"type", "message"},
+                             {"role", "assistant"},
+                             {"model", model_},
+                             {"content", Out::array()},
+                             {"stop_reason", nullptr},
+                             {"stop_sequence", nullptr},
+                             {"usage", usage_json({input_, 0, 0})}}}};
         return event("message_start", start) +
                http::sse_event("content_block_start",
                                "{\"type\":\"content_block_start\",\"index\":0,"
@@ -218,9 +220,9 @@
         return http::sse_event("content_block_delta", data += "}}");
     }
     std::string on_finish(Stop stop, const Usage& usage) override {
-        const Json delta = {{"type", "message_delta"},
-                            {"delta", {{"stop_reason", stop_reason(stop)}, {"stop_sequence", nullptr}}},
-                            {"usage", usage_json(usage)}};
+        const Out delta = {{"type", "message_delta"},
+                           {"delta", {{"stop_reason", stop_reason(stop)}, {"stop_sequence", nullptr}}},
+                           {"usage", usage_json(usage)}};
         return http::sse_event("content_block_stop", "{\"type\":\"content_block_stop\",\"index\":0}") +
                event("message_delta", delta) + http::sse_event("message_stop", "{\"type\":\"message_stop\"}");
     }
@@ -249,15 +251,15 @@
         return {};
     }
     std::string on_finish(Stop stop, const Usage& usage) override {
-        const Json whole = {{"id", id_},
-                            {"type", "message"},
-                            {"role", "assistant"},
-                            {"model", model_},
-                            {"content", Json::array({{{"type", "text"}, {"text", text_}}})},
-                            {"stop_reason", stop_reason(stop)},
-                            {"stop_sequence", nullptr},
-                            {"usage", usage_json(usage)}};
-        return whole.dump(-1, ' ', false, Json::error_handler_t::replace);
+        const Out whole = {{"id", id_},
+                           {"type", "message"},
+                           {"role", "assistant"},
+                           {"model", model_},
+                           {"content", Out::array({{{"type", "text"}, {"text", text_}}})},
+                           {"stop_reason", stop_reason(stop)},
+                           {"stop_sequence", nullptr},
+                           {"usage", usage_json(usage)}};
+        return whole.dump(-1, ' ', false, Out::error_handler_t::replace);
     }
     std::string on_fail(const ApiError& e) override { return error_body(e, request_); }
     std::string on_ping() override { return {}; }
@@ -267,7 +269,7 @@
     std::size_t max_;
 };
 
-Json model_json(const std::string& model) {
+Out model_json(const std::string& model) {
     return {
         {"type", "model"}, {"id", model}, {"display_name", model}, {"created_at", "1970-01-01T00:00:00Z"}};
 }
@@ -285,9 +287,9 @@
 }
 
 std::string error_body(const ApiError& e, const std::string& request_id) {
-    const Json j = {
+    const Out j = {
         {"type", "error"}, {"error", {{"type", e.type}, {"message", e.message}}}, {"request_id", request_id}};
-    return j.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return j.dump(-1, ' ', false, Out::error_handler_t::replace);
 }
 
 std::string count_body(const ChatRequest& r) {
@@ -295,11 +297,11 @@
 }
 
 std::string models_body(const std::vector<std::string>& models) {
-    Json list = Json::array();
+    Out list = Out::array();
     for (const auto& m : models) list.push_back(model_json(m));
-    const Json first = models.empty() ? Json(nullptr) : Json(models.front());
-    const Json last = models.empty() ? Json(nullptr) : Json(models.back());
-    return Json{{"data", list}, {"first_id", first}, {"has_more", false}, {"last_id", last}}.dump();
+    const Out first = models.empty() ? Out(nullptr) : Out(models.front());
+    const Out last = models.empty() ? Out(nullptr) : Out(models.back());
+    return Out{{"data", list}, {"first_id", first}, {"has_more", false}, {"last_id", last}}.dump();
 }
 
 std::string model_body(const std::string& model) { return model_json(model).dump(); }
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -17,6 +17,7 @@
 
 #include "gateway/exchange.h"
 #include "settings/settings.h"
+#include "state/witness.h"
 
 namespace gorsenotch::gateway {
 
@@ -61,14 +62,6 @@
     std::unique_ptr<front::Answer> answer;
 };
 
-// What the Router was told and what it said, in order; see gateway/journal.h.
-class Witness {
-public:
-    virtual ~Witness() = default;
-    virtual void event(Millis now, const Event& e) = 0;
-    virtual void action(const Action& a) = 0;
-};
-
 class Core {
 public:
     // `error_body` writes an error in the front's form: (error, request id).
@@ -88,8 +81,8 @@
     void end_all();
 
     std::size_t open() const { return requests_.size(); }
-    std::function<void()> on_wake;  // a timer was set that is earlier than what tick() last returned
-    Witness* witness = nullptr;     // not owned; may be null
+    std::function<void()> on_wake;      // a timer was set that is earlier than what tick() last returned
+    state::Witness* witness = nullptr;  // not owned; may be null
 
 private:
     struct Try {
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -2,13 +2,11 @@
 
 #include <chrono>
 #include <cstdio>
-#include <filesystem>
-#include <fstream>
 #include <random>
 
 #include "front/messages.h"
-#include "gateway/journal.h"
 #include "log/log.h"
+#include "state/journal.h"
 
 namespace gorsenotch::gateway {
 
@@ -27,7 +25,7 @@
     core_ = std::make_unique<Core>(p_, seed, *this, front::messages::error_body);
     core_->on_wake = [this] { wake(); };
     if (!options_.journal.empty()) {
-        journal_ = open_journal(options_.journal, seed);
+        journal_ = state::open_journal(options_.journal, seed);
         core_->witness = journal_.get();
     }
     server_ = std::make_unique<Server>(loop, p_, *core_, *this, random());
@@ -61,17 +59,19 @@
 int Gateway::start() {
     // A list saved by an earlier life serves until the fleet file is read; the Router knows that it may be
     // old.
-    const std::string saved = options_.state.empty() ? "" : options_.state + "/fleet.xml";
-    std::string text, why;
     std::vector<settings::FileFault> faults;
-    if (!saved.empty() && settings::read_file(saved, text, why)) {
-        if (const auto engines = settings::parse_fleet(text, p_, faults)) {
-            core_->list(*engines, true);
-        } else {
-            log("warn", "saved_list", {{"faults", settings::render(saved, faults)}});
-        }
+    std::optional<std::vector<settings::Engine>> engines;
+    if (!options_.state.empty()) {
+        saved_ = std::make_unique<state::Saved>(options_.state, "fleet");
+        std::string why;
+        if (const auto text = saved_->load(why)) engines = settings::parse_fleet(*text, p_, faults);
+        if (!faults.empty()) why = settings::render("saved list", faults);
+        if (!why.empty()) log("warn", "saved_list", {{"why", why}});
+    }
+    if (engines) {
+        core_->list(*engines, true);
     } else if (!p_.engines.empty()) {
-        core_->list(p_.engines, p_.fleet_file.empty() ? false : true);
+        core_->list(p_.engines, !p_.fleet_file.empty());
     }
     if (!p_.fleet_file.empty())
         watch_ = std::make_unique<net::FileWatch>(loop_, p_.fleet_file, 20, [this] { read_fleet(); });
@@ -92,15 +92,7 @@
     if (!engines) return log("error", "fleet_refused", {{"faults", settings::render(p_.fleet_file, faults)}});
     core_->list(*engines, false);
     log("info", "fleet", {{"engines", engines->size()}});
-    if (options_.state.empty()) return;
-    const std::string file = options_.state + "/fleet.xml", fresh = file + ".new";
-    std::ofstream out(fresh, std::ios::binary | std::ios::trunc);
-    out << text;
-    out.close();
-    std::error_code error;
-    if (out) std::filesystem::rename(fresh, file, error);
-    if (!out || error)
-        log("warn", "saved_list", {{"faults", "the list can't be saved in " + options_.state}});
+    if (saved_ && !saved_->save(text, why)) log("warn", "saved_list", {{"why", why}});
 }
 
 void Gateway::wake() {
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -7,6 +7,7 @@
 
 #include "gateway/server.h"
 #include "gateway/upstream.h"
+#include "state/saved.h"
 
 namespace gorsenotch::gateway {
 
@@ -45,7 +46,8 @@
     net::Loop& loop_;
     const settings::Program p_;
     const ServeOptions options_;
-    std::unique_ptr<Witness> journal_;
+    std::unique_ptr<state::Witness> journal_;
+    std::unique_ptr<state::Saved> saved_;
     std::unique_ptr<Upstream> upstream_;
     std::unique_ptr<Core> core_;
     std::unique_ptr<Server> server_;
--- a/src/rules/checker.cpp
+++ b/src/rules/checker.cpp
@@ -270,7 +270,8 @@
     }
 
     Finding drains() {
-        Finding f{"3 drains kept", "nothing new after the grace", 0, 0, {}};
+        Finding f{"3 drains kept", "nothing new after the grace (sends and notices)", 0, 0, {}};
+        for (const auto& [server, list] : told_) f.cases += static_cast<long>(list.size());
         for (const auto& [request, list] : attempts_) {
             for (const auto& a : list) {
                 const auto it = told_.find(a.server);
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -224,6 +224,7 @@
     if (id.empty() || asks_.count(id)) return refuse(400, "invalid_request_error", "doubled");
     if (error_classes_.count("") || error_classes_.count(ask.job.cls))
         return refuse(500, "internal_error", "error");
+    if (draining_) return refuse(429, "overloaded", "full");
     link.ask = id;
     if (silent_classes_.count("") || silent_classes_.count(ask.job.cls)) {
         ask.silent = true;
@@ -278,6 +279,16 @@
     };
     bool known = true;
     if (word == "crash") _exit(3);
+    if (word == "restart" && !o_.args.empty()) {
+        record("down", Json::object());
+        // Every socket closes on the way: what was out breaks, as at a crash.
+        std::vector<char*> argv;
+        if (std::find(o_.args.begin(), o_.args.end(), "--cold") == o_.args.end()) o_.args.push_back("--cold");
+        for (auto& a : o_.args) argv.push_back(a.data());
+        argv.push_back(nullptr);
+        execv("/proc/self/exe", argv.data());
+        _exit(3);
+    }
     if (word == "stall") {
         model_.stall(now, on);
     } else if (word == "slow") {
@@ -295,6 +306,8 @@
                 if (!l->gone) l->write(""), l->go_on();
             }
         }
+    } else if (word == "drain") {
+        draining_ = on;
     } else if (word == "late_reports") {
         report_delay_ = on ? j.value("ms", 2000.0) : 0;
     } else {
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -2,7 +2,8 @@
 // which a script gives orders, and a record of what its sockets carried.
 //
 // Orders (POST /control, JSON {"order":...}): stall{on}, slow{factor}, error{on,class}, silent{on,class},
-// cut{on,from}, late_reports{ms}, crash. An empty class means all. `cut` neither reads nor writes on
+// cut{on,from}, late_reports{ms}, drain{on}, crash, restart. `drain` turns away what is new, `restart` starts
+// the process anew, cold. An empty class means all. `cut` neither reads nor writes on
 // connections from addresses that begin with `from`, as a network does that drops packets.
 #pragma once
 
@@ -28,6 +29,7 @@
     std::string model_name = "local-model";
     Config config;
     bool cold = false;
+    std::vector<std::string> args;  // of this process, to start it anew
 };
 
 class Engine {
@@ -82,6 +84,7 @@
     std::set<std::string> error_classes_, silent_classes_, cut_from_;
     std::deque<std::pair<Millis, double>> reports_;  // memory share by time, for late reports
     Millis report_delay_ = 0;
+    bool draining_ = false;
     net::Timer timer_, burier_;
 };
 
--- a/src/gateway/journal.cpp
+++ b/src/state/journal.cpp
@@ -1,12 +1,13 @@
-#include "gateway/journal.h"
+#include "state/journal.h"
 
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 
-namespace gorsenotch::gateway {
+namespace gorsenotch::state {
 namespace {
 
-using front::Json;
+using Json = nlohmann::json;
 
 template <class... Ts>
 struct Overloaded : Ts... {
@@ -147,7 +148,12 @@
 
 class Journal : public Witness {
 public:
-    Journal(const std::string& file, std::uint64_t seed) : out_(file, std::ios::app) {
+    Journal(const std::string& file, std::uint64_t seed) {
+        // An earlier life may have been killed within a line.
+        std::ifstream old(file, std::ios::binary | std::ios::ate);
+        const bool torn = old && old.tellg() > 0 && old.seekg(-1, std::ios::end).get() != '\n';
+        out_.open(file, std::ios::app);
+        if (torn) out_ << '\n';
         out_ << Json{{"seed", seed}}.dump() << '\n';
     }
     bool good() const { return out_.good(); }
@@ -174,7 +180,7 @@
     Replay result;
     std::unique_ptr<Router> router;
     std::vector<Action> actions;
-    std::size_t next = 0, line_no = 0;
+    std::size_t next = 0, line_no = 0, torn = 0;
     const auto differ = [&](const std::string& what) {
         if (result.difference.empty()) result.difference = "line " + std::to_string(line_no) + ": " + what;
     };
@@ -183,8 +189,15 @@
         // Only a whole line ends with its line end; the rest of one was being written when the gateway died.
         if (journal.eof()) break;
         const Json j = Json::parse(line, nullptr, false);
+        if (torn > 0 && !(j.is_object() && j.contains("seed")))
+            throw std::runtime_error("line " + std::to_string(torn) + ": not a JSON object");
+        torn = 0;
+        if (j.is_discarded()) {  // rightly so only where a life ends: a new one must follow
+            torn = line_no;
+            continue;
+        }
         try {
-            if (j.is_discarded() || !j.is_object()) throw std::runtime_error("not a JSON object");
+            if (!j.is_object()) throw std::runtime_error("not a JSON object");
             if (j.contains("seed")) {  // a new life of the gateway
                 router = std::make_unique<Router>(settings, j.at("seed").get<std::uint64_t>());
                 actions.clear(), next = 0;
@@ -210,4 +223,4 @@
     return result;
 }
 
-}  // namespace gorsenotch::gateway
+}  // namespace gorsenotch::state
--- a/src/gateway/journal.h
+++ b/src/state/journal.h
@@ -6,9 +6,9 @@
 #include <memory>
 #include <string>
 
-#include "gateway/core.h"
+#include "state/witness.h"
 
-namespace gorsenotch::gateway {
+namespace gorsenotch::state {
 
 // Null if the file can't be written. The first line holds the seed.
 std::unique_ptr<Witness> open_journal(const std::string& file, std::uint64_t seed);
@@ -21,4 +21,4 @@
 // naming the line, where the journal is damaged; a last line that was cut short is passed over.
 Replay replay(std::istream& journal, const Settings& settings);
 
-}  // namespace gorsenotch::gateway
+}  // namespace gorsenotch::state
