--- a/src/engine/dialect.h
+++ b/src/engine/dialect.h
@@ -55,8 +55,9 @@
     virtual Verdict judge_read(int status, const std::string& body) const = 0;
     // An answer to a write that is not a stream.
     virtual Verdict judge_refusal(int status, const std::string& body) const = 0;
-    // One event's meanings, in order; at most one text, one stop and one usage.
-    virtual std::vector<Piece> judge_event(std::string_view data) const = 0;
+    // One event's meanings, in order, in place of what `pieces` held; at most one text, one stop and one
+    // usage.
+    virtual void judge_event(std::string_view data, std::vector<Piece>& pieces) const = 0;
     virtual LoadReport report(const http::Headers& headers) const = 0;
 };
 
--- a/src/engine/vllm.cpp
+++ b/src/engine/vllm.cpp
@@ -73,6 +73,117 @@
     return v;
 }
 
+// Reads one chunk of a stream without building it: every token of every stream passes here, and the few
+// members that matter are known by their path. What else a chunk holds is passed by.
+class ChunkReader final : public nlohmann::json_sax<Json> {
+public:
+    std::string text, finish, error_text = "no reason given";
+    front::Usage usage;
+    bool object = false, error = false, has_usage = false, stop_string = false;
+
+    bool null() override { return value(); }
+    bool boolean(bool) override { return value(); }
+    bool number_integer(number_integer_t x) override { return number(static_cast<double>(x)); }
+    bool number_unsigned(number_unsigned_t x) override { return number(static_cast<double>(x)); }
+    bool number_float(number_float_t x, const string_t&) override { return number(x); }
+    bool binary(binary_t&) override { return true; }
+    bool string(string_t& s) override {
+        if (at(Key::choices, 0, Key::delta, Key::content)) text = std::move(s);
+        if (at(Key::choices, 0, Key::finish)) finish = std::move(s);
+        if (at(Key::choices, 0, Key::stop_reason)) stop_string = true;
+        if (depth_ == 1 && key_[1] == Key::error) error = true, error_text = s;
+        if (depth_ == 2 && key_[1] == Key::error && key_[2] == Key::message) error_text = std::move(s);
+        return value();
+    }
+    bool start_object(std::size_t) override {
+        if (depth_ == 0) object = true;
+        if (depth_ == 1 && key_[1] == Key::error) error = true;
+        if (depth_ == 1 && key_[1] == Key::usage) has_usage = true;
+        return down(-1);
+    }
+    bool start_array(std::size_t) override { return down(0); }
+    bool end_object() override { return up(); }
+    bool end_array() override { return up(); }
+    bool key(string_t& k) override {
+        if (depth_ <= kPath) key_[depth_] = known(k);
+        return true;
+    }
+    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
+        return false;
+    }
+
+private:
+    enum class Key {
+        other,
+        choices,
+        delta,
+        content,
+        finish,
+        stop_reason,
+        error,
+        message,
+        usage,
+        prompt,
+        output,
+        details,
+        cached
+    };
+    static constexpr int kPath = 5, kDeepest = 64;
+
+    static Key known(const std::string& k) {
+        static constexpr std::pair<std::string_view, Key> names[] = {{"choices", Key::choices},
+                                                                     {"delta", Key::delta},
+                                                                     {"content", Key::content},
+                                                                     {"finish_reason", Key::finish},
+                                                                     {"stop_reason", Key::stop_reason},
+                                                                     {"error", Key::error},
+                                                                     {"message", Key::message},
+                                                                     {"usage", Key::usage},
+                                                                     {"prompt_tokens", Key::prompt},
+                                                                     {"completion_tokens", Key::output},
+                                                                     {"prompt_tokens_details", Key::details},
+                                                                     {"cached_tokens", Key::cached}};
+        for (const auto& [name, key] : names) {
+            if (name == k) return key;
+        }
+        return Key::other;
+    }
+    // A value at choices[n].a or choices[n].a.b. An array takes a level of its own: index_ holds its place.
+    bool at(Key list, int n, Key a, Key b = Key::other) const {
+        const int want = b == Key::other ? 3 : 4;
+        return depth_ == want && key_[1] == list && index_[2] == n && key_[3] == a &&
+               (want == 3 || key_[4] == b);
+    }
+    bool number(double x) {
+        if (has_usage && std::isfinite(x) && x > 0 && x < 1e12) {
+            if (depth_ == 2 && key_[1] == Key::usage && key_[2] == Key::prompt)
+                usage.input = static_cast<long>(x);
+            if (depth_ == 2 && key_[1] == Key::usage && key_[2] == Key::output)
+                usage.output = static_cast<long>(x);
+            if (depth_ == 3 && key_[1] == Key::usage && key_[2] == Key::details && key_[3] == Key::cached)
+                usage.cached = static_cast<long>(x);
+        }
+        return value();
+    }
+    bool down(int index) {
+        if (++depth_ > kDeepest) return false;
+        if (depth_ <= kPath) index_[depth_] = index, key_[depth_] = Key::other;
+        return true;
+    }
+    bool up() {
+        --depth_;
+        return value();
+    }
+    // A value has ended: in an array the next one has the next place.
+    bool value() {
+        if (depth_ <= kPath && index_[depth_] >= 0) ++index_[depth_];
+        return true;
+    }
+    int depth_ = 0;
+    Key key_[kPath + 1] = {};
+    int index_[kPath + 1] = {-1, -1, -1, -1, -1, -1};
+};
+
 class Vllm : public Dialect {
 public:
     Wanted read(const front::ChatRequest& r, const AttemptInfo& a) const override {
@@ -123,43 +234,32 @@
         return v;
     }
 
-    std::vector<Piece> judge_event(std::string_view data) const override {
-        std::vector<Piece> pieces;
+    void judge_event(std::string_view data, std::vector<Piece>& pieces) const override {
+        pieces.clear();
         if (data == "[DONE]") {
             pieces.push_back({Piece::Kind::done, {}, {}, {}});
-            return pieces;
+            return;
         }
-        std::string why;
-        const Json json = front::parse_json(data, why);
-        if (!json.is_object() || json.contains("error")) {
-            pieces.push_back({Piece::Kind::broken, json.is_object() ? error_text(json) : why, {}, {}});
-            return pieces;
+        ChunkReader chunk;
+        const bool whole = Json::sax_parse(data, &chunk);
+        if (!whole || !chunk.object || chunk.error) {
+            const std::string why = chunk.error ? chunk.error_text : "an event that is not a JSON object";
+            pieces.push_back({Piece::Kind::broken, why.substr(0, 200), {}, {}});
+            return;
         }
-        const auto choices = json.find("choices");
-        if (choices != json.end() && choices->is_array() && !choices->empty() && (*choices)[0].is_object()) {
-            const Json& c = (*choices)[0];
-            const auto delta = c.find("delta");
-            if (delta != c.end() && delta->is_object()) {
-                const auto text = delta->find("content");
-                if (text != delta->end() && text->is_string() && !text->get_ref<const std::string&>().empty())
-                    pieces.push_back({Piece::Kind::text, text->get<std::string>(), {}, {}});
-            }
-            const auto reason = c.find("finish_reason");
-            if (reason != c.end() && reason->is_string()) {
-                Piece p{Piece::Kind::stop, {}, front::Stop::end, {}};
-                const auto& word = reason->get_ref<const std::string&>();
-                if (word == "length") p.stop = front::Stop::length;
-                if (word == "content_filter") p.stop = front::Stop::refused;
-                const auto by = c.find("stop_reason");  // vLLM names the stop string that matched
-                if (word == "stop" && by != c.end() && by->is_string()) p.stop = front::Stop::sequence;
-                pieces.push_back(p);
-            }
+        if (!chunk.text.empty()) pieces.push_back({Piece::Kind::text, std::move(chunk.text), {}, {}});
+        if (!chunk.finish.empty()) {
+            Piece p{Piece::Kind::stop, {}, front::Stop::end, {}};
+            if (chunk.finish == "length") p.stop = front::Stop::length;
+            if (chunk.finish == "content_filter") p.stop = front::Stop::refused;
+            // vLLM names the stop string that matched.
+            if (chunk.finish == "stop" && chunk.stop_string) p.stop = front::Stop::sequence;
+            pieces.push_back(std::move(p));
         }
-        if (const auto u = json.find("usage"); u != json.end() && u->is_object()) {
-            Piece p{Piece::Kind::usage, {}, {}, usage_of(*u)};
-            pieces.push_back(p);
+        if (chunk.has_usage) {
+            chunk.usage.cached = std::min(chunk.usage.cached, chunk.usage.input);
+            pieces.push_back({Piece::Kind::usage, {}, {}, chunk.usage});
         }
-        return pieces;
     }
 
     LoadReport report(const http::Headers& headers) const override {
--- a/src/front/messages.cpp
+++ b/src/front/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cmath>
+#include <cstdio>
 
 #include "http/sse.h"
 
@@ -168,6 +169,24 @@
     r.session = hash(first.text, hash(r.user, r.prefix));
 }
 
+// The inside of a JSON string. `text` is UTF-8, as the parser it came from has checked.
+void escape(std::string_view text, std::string& out) {
+    for (const char c : text) {
+        const auto u = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            (out += '\\') += c;
+        } else if (c == '\n') {
+            out += "\\n";
+        } else if (u < 0x20) {
+            char hex[8];
+            std::snprintf(hex, sizeof hex, "\\u%04x", u);
+            out += hex;
+        } else {
+            out += c;
+        }
+    }
+}
+
 std::string event(const char* name, const Out& data) { return http::sse_event(name, data.dump()); }
 
 const char* stop_reason(Stop s) {
@@ -214,10 +233,15 @@
                on_ping();
     }
     std::string on_text(std::string_view piece) override {
-        std::string data =
-            "{\"type\":\"content_block_delta\",\"index\":0,\"delta\":{\"type\":\"text_delta\",\"text\":";
-        data += Json(piece).dump(-1, ' ', false, Json::error_handler_t::replace);
-        return http::sse_event("content_block_delta", data += "}}");
+        // Every token of every stream passes here: one string, made once.
+        static constexpr std::string_view head =
+            "event: content_block_delta\ndata: {\"type\":\"content_block_delta\",\"index\":0,\"delta\":"
+            "{\"type\":\"text_delta\",\"text\":\"";
+        std::string out;
+        out.reserve(head.size() + piece.size() + 16);
+        out.append(head);
+        escape(piece, out);
+        return out.append("\"}}\n\n");
     }
     std::string on_finish(Stop stop, const Usage& usage) override {
         const Out delta = {{"type", "message_delta"},
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -62,7 +62,8 @@
         spoilt_ = true;
         return;
     }
-    for (const auto& p : dialect_.judge_event(data)) {
+    dialect_.judge_event(data, pieces_now_);
+    for (const auto& p : pieces_now_) {
         using Kind = engine::Piece::Kind;
         if (p.kind == Kind::broken) {
             spoilt_ = true;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -68,6 +68,7 @@
     front::Stop stop_ = front::Stop::end;
     front::Usage usage_;
     long pieces_ = 0;
+    std::vector<engine::Piece> pieces_now_;  // of the event at hand; kept for its memory
 };
 
 }  // namespace gorsenotch::gateway
--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -12,6 +12,11 @@
 
 namespace gorsenotch::gateway {
 
+namespace {
+constexpr Millis kLinger = 1000;         // for which a connection that is done is still read
+constexpr std::size_t kTurnedAway = 16;  // connections beyond the limit that are answered at once
+}  // namespace
+
 // One connection: one request at a time, pipelined ones wait their turn.
 class Server::Connection : public Client {
 public:
@@ -32,7 +37,16 @@
         stream_->read(true);
     }
 
-    bool idle() const { return !busy_ && !parser_.begun() && stream_ && stream_->queued() == 0; }
+    bool idle() const {
+        return !busy_ && !parser_.begun() && stream_ && stream_->queued() == 0 && out_.empty();
+    }
+    void turn_away() {
+        ++s_.turned_away_;
+        away_ = true;
+        id_ = s_.next_id();
+        busy_ = true;
+        reply(overloaded());
+    }
     void shut_idle() {
         if (idle()) close();
     }
@@ -48,7 +62,14 @@
         if (chunked()) h.emplace_back("transfer-encoding", "chunked");
         write(http::response_head(200, h));
     }
-    void body(std::string bytes) override { write(chunked() ? http::chunk(bytes) : std::move(bytes)); }
+    void body(std::string bytes) override {
+        if (chunked()) {
+            http::append_chunk(out_, bytes);
+        } else {
+            out_ += bytes;
+        }
+        wrote();
+    }
     void done() override {
         if (chunked()) write(std::string(http::last_chunk));
         end_answer();
@@ -76,19 +97,39 @@
         return {{"request-id", id_}, {"connection", keep_ ? "keep-alive" : "close"}};
     }
 
-    void write(std::string bytes) {
+    void write(const std::string& bytes) {
+        out_ += bytes;
+        wrote();
+    }
+
+    // What one turn of the loop says to a client goes out in one write, at the turn's end.
+    void wrote() {
+        if (!stream_) return;
+        // Guards against memory taken in one long turn, in which an engine may send much.
+        if (out_.size() > s_.p_.limits.stream_buffer) return flush();
+        if (unsent_) return;
+        unsent_ = true;
+        s_.unsent_.push_back(this);
+        s_.turn_.ask();
+    }
+
+public:
+    void flush() {
+        if (std::exchange(unsent_, false)) std::erase(s_.unsent_, this);
         if (!stream_) return;
-        stream_->write(std::move(bytes));
+        stream_->write(std::exchange(out_, {}));
+        if (closing_ && stream_->queued() == 0) return stream_->shut();
         // Back-pressure: the engine's socket is not read while this client is behind.
-        if (begun_ && !congested_ && stream_ && stream_->queued() > s_.p_.limits.stream_buffer) {
+        if (begun_ && open_ && !congested_ && stream_->queued() > s_.p_.limits.stream_buffer) {
             congested_ = true;
             timer_.after(s_.p_.limits.stream_idle_ms);
             s_.core_.client_congested(id_, true);
         }
     }
 
+private:
     void drained() {
-        if (closing_) return stream_->shut();
+        if (closing_) return out_.empty() ? stream_->shut() : flush();
         if (!congested_) return;
         congested_ = false;
         timer_.stop();
@@ -187,8 +228,7 @@
             // What the client still sends is read and dropped: a close with unread bytes would reset the
             // connection and could take the answer with it.
             stream_->read(true);
-            if (stream_->queued() == 0) stream_->shut();
-            timer_.after(s_.p_.limits.header_ms);
+            timer_.after(kLinger);
             return;
         }
         timer_.after(s_.p_.limits.idle_ms);
@@ -224,6 +264,7 @@
         open_ = false;
         timer_.stop();
         stream_.reset();
+        if (std::exchange(away_, false)) --s_.turned_away_;
         s_.remove(*this);
     }
 
@@ -231,18 +272,23 @@
     std::unique_ptr<net::Stream> stream_;
     http::Parser parser_;
     net::Timer timer_;
-    std::string id_, pending_;
+    std::string id_, pending_, out_;
     HttpRequest request_;
     std::optional<Reply> early_;
     // busy: a request is being answered; open: the Core has it
     bool busy_ = false, open_ = false, begun_ = false, congested_ = false, keep_ = false, closing_ = false;
+    bool unsent_ = false, away_ = false;
 };
 
 Server::Server(net::Loop& loop, const settings::Program& program, Core& core, Ports& ports,
                std::uint64_t instance)
-    : loop_(loop), p_(program), core_(core), ports_(ports), instance_(instance), burier_(loop, [this] {
-          dead_.clear();
-      }) {
+    : loop_(loop),
+      p_(program),
+      core_(core),
+      ports_(ports),
+      instance_(instance),
+      turn_(loop, [this] { flush(); }),
+      burier_(loop, [this] { dead_.clear(); }) {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < limit.rlim_max) {
         limit.rlim_cur = limit.rlim_max;
@@ -267,24 +313,22 @@
 int Server::port() const { return listener_ ? listener_->port() : 0; }
 
 void Server::accept(std::unique_ptr<net::Stream> stream) {
-    // Guards against descriptors running out, which would leave clients without any answer.
-    if (all_.size() >= most_) {
-        const std::string id = next_id();
-        const Reply r = error_reply(529, "overloaded_error", "too many connections", id);
-        stream->write(http::response_head(529, {{"content-type", "application/json"},
-                                                {"content-length", std::to_string(r.body.size())},
-                                                {"request-id", id},
-                                                {"retry-after", "1"},
-                                                {"x-should-retry", "true"},
-                                                {"connection", "close"}}) +
-                      r.body);
-        return;
-    }
+    // Guards against descriptors running out, which would leave clients without any answer. Beyond the limit
+    // a few at a time are still told so; a flood beyond these is closed.
+    const bool over = all_.size() - turned_away_ >= most_;
+    if (over && turned_away_ >= kTurnedAway) return;
     all_.push_back(std::make_unique<Connection>(*this, std::move(stream)));
     all_.back()->self = std::prev(all_.end());
+    if (over) all_.back()->turn_away();
+}
+
+void Server::flush() {
+    const auto now = std::exchange(unsent_, {});
+    for (auto* c : now) c->flush();
 }
 
 void Server::remove(Connection& c) {
+    std::erase(unsent_, &c);
     dead_.splice(dead_.end(), all_, c.self);
     burier_.after(0);
 }
--- a/src/gateway/server.h
+++ b/src/gateway/server.h
@@ -3,6 +3,7 @@
 
 #include <list>
 #include <memory>
+#include <vector>
 
 #include "gateway/intake.h"
 #include "net/loop.h"
@@ -28,6 +29,7 @@
     void accept(std::unique_ptr<net::Stream> stream);
     void remove(Connection& c);
     std::string next_id();
+    void flush();
 
     net::Loop& loop_;
     const settings::Program& p_;
@@ -35,10 +37,13 @@
     Ports& ports_;
     const std::uint64_t instance_;  // makes ids unique over all gateways and starts
     std::uint64_t count_ = 0;
-    std::size_t most_ = 0;  // connections served at once; more are answered 529
+    std::size_t most_ = 0;         // connections served at once; more are answered 529
+    std::size_t turned_away_ = 0;  // of all_, those beyond it
     bool draining_ = false;
     std::unique_ptr<net::Listener> listener_;
     Connections all_, dead_;
+    std::vector<Connection*> unsent_;  // have written in this turn
+    net::Turn turn_;
     net::Timer burier_;
 };
 
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -153,12 +153,17 @@
     return s.append("\r\n");
 }
 
-std::string chunk(std::string_view bytes) {
-    if (bytes.empty()) return {};
+void append_chunk(std::string& out, std::string_view bytes) {
+    if (bytes.empty()) return;
     char size[20];
     const int n = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-    std::string s(size, static_cast<std::size_t>(n));
-    return s.append(bytes).append("\r\n");
+    out.append(size, static_cast<std::size_t>(n)).append(bytes).append("\r\n");
+}
+
+std::string chunk(std::string_view bytes) {
+    std::string s;
+    append_chunk(s, bytes);
+    return s;
 }
 
 std::string_view reason(int status) {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -73,6 +73,7 @@
 // One message head, with the headers as given; "\r\n\r\n" included.
 std::string request_head(std::string_view method, std::string_view target, const Headers& headers);
 std::string response_head(int status, const Headers& headers);
+void append_chunk(std::string& out, std::string_view bytes);
 std::string chunk(std::string_view bytes);  // one chunk of a chunked body; empty input gives no bytes
 constexpr std::string_view last_chunk = "0\r\n\r\n";
 std::string_view reason(int status);
--- a/src/http/sse.cpp
+++ b/src/http/sse.cpp
@@ -1,5 +1,7 @@
 #include "http/sse.h"
 
+#include <utility>
+
 namespace gorsenotch::http {
 
 bool SseReader::feed(std::string_view bytes) {
@@ -12,7 +14,8 @@
                 continue;
             }
         }
-        const auto end = bytes.find_first_of("\r\n");
+        auto end = bytes.find('\n');
+        if (const auto cr = bytes.substr(0, end).find('\r'); cr != std::string_view::npos) end = cr;
         const auto part = bytes.substr(0, end);
         // Guards against memory taken by a line that never ends.
         if (line_.size() + data_.size() + part.size() > max_) {
@@ -45,10 +48,9 @@
         if (text.substr(0, 3) == "\xEF\xBB\xBF") text.remove_prefix(3);
     }
     if (text.empty()) {
-        const std::string name = std::move(name_), data = std::move(data_);
-        const bool had = has_data_;
-        name_.clear(), data_.clear(), has_data_ = false;
-        if (had && on_event) on_event(name, data);
+        // Handed on in place: the strings keep their memory for the next event.
+        if (std::exchange(has_data_, false) && on_event) on_event(name_, data_);
+        name_.clear(), data_.clear();
         return !broken_;
     }
     if (text.front() == ':') return true;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -58,6 +58,47 @@
 
 void Timer::stop() { uv_timer_stop(&h_->uv); }
 
+// ---- Turn -----------------------------------------------------------------------------------------------
+
+struct Turn::Handle {
+    uv_check_t check{};      // after the sockets of this turn
+    uv_prepare_t prepare{};  // after its timers, before it sleeps
+    std::function<void()> end;
+    bool due = false, owned = true;
+    int open = 2;
+    void call() {
+        if (!due || !owned) return;
+        due = false;
+        uv_check_stop(&check);
+        uv_prepare_stop(&prepare);
+        end();
+    }
+};
+
+Turn::Turn(Loop& loop, std::function<void()> end) : h_(new Handle) {
+    h_->end = std::move(end);
+    uv_check_init(loop.raw(), &h_->check);
+    uv_prepare_init(loop.raw(), &h_->prepare);
+    h_->check.data = h_->prepare.data = h_;
+}
+
+Turn::~Turn() {
+    h_->owned = false;
+    const auto closed = [](uv_handle_t* u) {
+        auto* h = static_cast<Handle*>(u->data);
+        if (--h->open == 0) delete h;
+    };
+    uv_close(reinterpret_cast<uv_handle_t*>(&h_->check), closed);
+    uv_close(reinterpret_cast<uv_handle_t*>(&h_->prepare), closed);
+}
+
+void Turn::ask() {
+    if (h_->due) return;
+    h_->due = true;
+    uv_check_start(&h_->check, [](uv_check_t* c) { static_cast<Handle*>(c->data)->call(); });
+    uv_prepare_start(&h_->prepare, [](uv_prepare_t* p) { static_cast<Handle*>(p->data)->call(); });
+}
+
 // ---- addresses ------------------------------------------------------------------------------------------
 
 bool parse_address(const std::string& address, sockaddr_storage& out) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -50,6 +50,21 @@
     Handle* h_;
 };
 
+// Calls back once before the loop next sleeps, after it was asked to: to gather what several callbacks of one
+// turn have to say. Asking costs nothing while one call is due.
+class Turn {
+public:
+    Turn(Loop& loop, std::function<void()> end);
+    ~Turn();
+    Turn(const Turn&) = delete;
+    Turn& operator=(const Turn&) = delete;
+    void ask();
+
+private:
+    struct Handle;
+    Handle* h_;
+};
+
 // An address: "127.0.0.1:80" or "[::1]:80". False if it is neither.
 bool parse_address(const std::string& address, sockaddr_storage& out);
 
