--- a/src/rules/checker.cpp
+++ b/src/rules/checker.cpp
@@ -45,12 +45,14 @@
 public:
     Judge(const std::vector<Record>& records, const Terms& terms) : t_(terms) {
         for (const auto& r : records) take(r);
+        records_ = &records;
     }
 
     Verdict all() {
         Verdict v;
         v.findings = {answered(), nothing_after(), text(), once(), never_two(), drains(), cold(), pinned()};
         v.service = service();
+        for (auto& f : v.findings) trace(f);
         return v;
     }
 
@@ -151,6 +153,27 @@
         if (f.broken++ == 0) f.example = example;
     }
 
+    // The example begins with a request's or a client's name: what the records say of it.
+    void trace(Finding& f) const {
+        const std::string subject = f.example.substr(0, f.example.find_first_of(" :"));
+        if (subject.empty()) return;
+        std::string request =
+            request_of(subject).rfind("req_", 0) == 0 ? subject.substr(0, subject.find('.')) : "";
+        if (const auto it = asks_.find(subject); it != asks_.end()) request = it->second.request;
+        for (const auto& r : *records_) {
+            const std::string id = r.text("id"), c = r.text("c");
+            const bool about =
+                (!request.empty() && id.rfind(request, 0) == 0) ||
+                (!c.empty() && (r.source + "/" + c == subject || speaks_of(r.source + "/" + c, request)));
+            if (about && f.trace.size() < 20) f.trace.push_back(place(&r) + " " + r.fields.dump());
+        }
+    }
+
+    bool speaks_of(const std::string& client, const std::string& request) const {
+        const auto it = asks_.find(client);
+        return !request.empty() && it != asks_.end() && it->second.request == request;
+    }
+
     // Whether the gateway that a client spoke to was killed while, or shortly before, the client asked.
     bool killed(const std::string& gateway, Millis from, Millis to) const {
         const auto it = kills_.find(gateway);
@@ -161,7 +184,7 @@
     }
 
     Finding answered() {
-        Finding f{"1 no request lost", "each ask has one final answer in time", 0, 0, {}};
+        Finding f{"1 no request lost", "each ask has one final answer in time", 0, 0, {}, {}};
         for (const auto& [c, a] : asks_) {
             if (!a.record) continue;
             ++f.cases;
@@ -183,7 +206,7 @@
     }
 
     Finding nothing_after() {
-        Finding f{"1 no request lost", "nothing is sent after the final answer", 0, 0, {}};
+        Finding f{"1 no request lost", "nothing is sent after the final answer", 0, 0, {}, {}};
         std::map<std::string, const Ask*> by_request;
         for (const auto& [c, a] : asks_) {
             if (a.after) broken(f, c + ": bytes after the final answer");
@@ -204,7 +227,7 @@
 
     Finding text() {
         Finding f{
-            "1 no request lost", "the text that came is the engine's, whole or its beginning", 0, 0, {}};
+            "1 no request lost", "the text that came is the engine's, whole or its beginning", 0, 0, {}, {}};
         for (const auto& [c, a] : asks_) {
             if (a.text.empty()) continue;
             ++f.cases;
@@ -215,7 +238,7 @@
     }
 
     Finding once() {
-        Finding f{"2 no effect twice", "once and by_key: run once; refused only if not run", 0, 0, {}};
+        Finding f{"2 no effect twice", "once and by_key: run once; refused only if not run", 0, 0, {}, {}};
         std::map<std::string, const Ask*> by_request;
         for (const auto& [c, a] : asks_) {
             if (!a.request.empty()) by_request[a.request] = &a;
@@ -244,7 +267,7 @@
     }
 
     Finding never_two() {
-        Finding f{"2 no effect twice", "never two attempts of a request at once", 0, 0, {}};
+        Finding f{"2 no effect twice", "never two attempts of a request at once", 0, 0, {}, {}};
         for (const auto& [request, list] : attempts_) {
             ++f.cases;
             for (std::size_t i = 1; i < list.size(); ++i) {
@@ -270,7 +293,7 @@
     }
 
     Finding drains() {
-        Finding f{"3 drains kept", "nothing new after the grace (sends and notices)", 0, 0, {}};
+        Finding f{"3 drains kept", "nothing new after the grace (sends and notices)", 0, 0, {}, {}};
         for (const auto& [server, list] : told_) f.cases += static_cast<long>(list.size());
         for (const auto& [request, list] : attempts_) {
             for (const auto& a : list) {
@@ -294,7 +317,7 @@
 
     Finding cold() {
         Finding f{
-            "4 no cold engine pushed over", "work sent by all gateways against what it can do", 0, 0, {}};
+            "4 no cold engine pushed over", "work sent by all gateways against what it can do", 0, 0, {}, {}};
         std::map<long, std::vector<const Record*>> sends;
         for (const auto& [request, list] : attempts_) {
             for (const auto& a : list) sends[a.server].push_back(a.recv);
@@ -328,7 +351,7 @@
     }
 
     Finding pinned() {
-        Finding f{"5 nothing left pinned", "a state is taken or let go in time", 0, 0, {}};
+        Finding f{"5 nothing left pinned", "a state is taken or let go in time", 0, 0, {}, {}};
         for (const auto& h : held_) {
             ++f.cases;
             const std::string request = request_of(h.id);
@@ -417,6 +440,7 @@
     }
 
     const Terms& t_;
+    const std::vector<Record>* records_ = nullptr;
     std::map<std::string, std::vector<Attempt>> attempts_;  // by request
     std::map<std::string, std::pair<std::string, std::size_t>> by_id_;
     std::vector<Held> held_;
@@ -447,6 +471,7 @@
                       f.broken);
         out += line;
         if (f.broken > 0) out += "    first: " + f.example + "\n";
+        for (const auto& t : f.trace) out += "        " + t + "\n";
     }
     const Service& s = v.service;
     std::snprintf(line, sizeof line,
--- a/src/rules/checker.h
+++ b/src/rules/checker.h
@@ -22,7 +22,8 @@
 struct Finding {
     std::string rule, what;  // e.g. "answered once"
     long cases = 0, broken = 0;
-    std::string example;  // of the first breach: what was seen, with the records' places
+    std::string example;             // of the first breach: what was seen, with the records' places
+    std::vector<std::string> trace;  // the records that speak of it, by time, at most 20
 };
 
 struct Service {
--- a/tests/program/checker_test.cpp
+++ b/tests/program/checker_test.cpp
@@ -126,6 +126,14 @@
     expect(Story().ask().add("client-0", 1400, "gone", {{"c", "1.0"}}), "");
 }
 
+TEST(Checker, TheExampleHasItsTrace) {
+    Story s = Story().good().attempt(2, 3, "write", 1200);
+    const auto f = judge(s.records, terms()).findings[1];
+    ASSERT_EQ(f.broken, 1);
+    EXPECT_EQ(f.trace.size(), s.records.size());
+    EXPECT_NE(f.trace.back().find("\"op\":\"write\""), std::string::npos);
+}
+
 TEST(Checker, NothingAfterTheAnswer) {
     expect(Story().good().attempt(2, 3, "write", 1200), "1 nothing is ");
     expect(Story().good().add("client-0", 1060, "after", {{"c", "1.0"}}), "1 nothing is ");
