--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -39,7 +39,13 @@
 
 Day::Day(Plan plan, DayOptions options) : plan_(std::move(plan)), o_(std::move(options)) {
     seed_ = o_.seed.value_or(plan_.seed);
-    octet_ = 16 + static_cast<int>(static_cast<unsigned>(::getpid()) % 200u);
+    // The addresses of a day are its own: the first octet that no other day on this machine has claimed.
+    for (int i = 0; i < 200; ++i) {
+        octet_ = 16 + static_cast<int>((static_cast<unsigned>(::getpid()) + static_cast<unsigned>(i)) % 200u);
+        claim_ = std::make_unique<net::Listener>(loop_);
+        if (claim_->listen(place(254, 254) + ":47") == 0) return;
+    }
+    error_ = "no loopback addresses are free";
 }
 
 Day::~Day() = default;
@@ -62,6 +68,8 @@
 
 DayResult Day::run() {
     DayResult result;
+    result.error = error_;
+    if (!error_.empty()) return result;
     const Millis began = net::now();
     std::error_code error;
     std::filesystem::remove_all(o_.out, error);
@@ -211,8 +219,17 @@
         calls_.push_back(std::make_unique<net::Stream>(loop_));
         calls_.back()->connect(address, "", [check](int e) { ++check->open, check->failed |= e != 0; });
     }
-    later(50, [this, check, n = all.size()] {
-        if (check->open == n && !check->failed) {
+    check_ready([check, n = all.size()] { return check->open < n ? 0
+                                                 : check->failed ? -1
+                                                                 : 1; },
+                net::now() + 2000);
+}
+
+// Looks again until all have answered; what did not within a while is asked anew.
+void Day::check_ready(std::function<int()> state, Millis until) {
+    later(20, [this, state = std::move(state), until]() mutable {
+        const int now = state();
+        if (now > 0) {
             calls_.clear();
             // The gateways have read their lists by now, or will within a look at the file.
             return later(100, [this] { start_clients(); });
@@ -221,6 +238,7 @@
             if (error_.empty()) error_ = "not all processes came up in time; see the logs in " + o_.out;
             return end();
         }
+        if (now == 0 && net::now() < until) return check_ready(std::move(state), until);
         wait_ready();
     });
 }
--- a/src/day/day.h
+++ b/src/day/day.h
@@ -2,6 +2,7 @@
 // and the troubles of a day file, then judges the rules from the records.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -69,6 +70,7 @@
     void start_gate(Gate& g);
     void start_clients();
     void wait_ready();
+    void check_ready(std::function<int()> state, Millis until);
     void play(const Trouble& t, std::size_t number);
     std::vector<Server*> struck(const Trouble& t, std::mt19937_64& random);
     void crash(Server& s, const Trouble& t);
@@ -88,6 +90,7 @@
     Plan plan_;
     DayOptions o_;
     net::Loop loop_;
+    std::unique_ptr<net::Listener> claim_;  // says that this day's addresses are taken
     std::unique_ptr<rules::Recorder> recorder_;
     std::vector<std::unique_ptr<Server>> servers_;
     std::vector<std::unique_ptr<Gate>> gates_;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -231,6 +231,7 @@
         asks_[id] = std::move(ask);
         return;
     }
+    ask.muted = mute_classes_.count("") || mute_classes_.count(ask.job.cls);
     const bool read = ask.read;
     const Job job = ask.job;
     asks_[id] = std::move(ask);
@@ -297,6 +298,8 @@
         set(error_classes_, j.value("class", ""));
     } else if (word == "silent") {
         set(silent_classes_, j.value("class", ""));
+    } else if (word == "mute") {
+        set(mute_classes_, j.value("class", ""));
     } else if (word == "cut") {
         set(cut_from_, j.value("from", ""));
         if (!on) {
@@ -324,7 +327,7 @@
     record("held", {{"id", id}});
     const auto it = asks_.find(id);
     if (it == asks_.end()) return;  // its asker has gone and the kind does not cancel: the state stays
-    Link* link = it->second.link;
+    Link* link = it->second.muted ? nullptr : it->second.link;
     const double prompt = it->second.job.prompt;
     end(id, "done");
     if (!link) return;
@@ -424,7 +427,7 @@
     Ask& a = it->second;
     ++a.made;
     if (!a.begun) record("first", {{"id", id}});
-    if (a.link) {
+    if (a.link && !a.muted) {
         std::string out;
         if (!a.begun) {
             out = http::response_head(200, {{"content-type", "text/event-stream; charset=utf-8"},
@@ -463,7 +466,8 @@
     }
     a.begun = true;
     if (!last) return;
-    Link* link = a.link;
+    Link* link = a.muted ? nullptr : a.link;
+    if (a.muted && a.link) return;  // done, and nobody is told: out until its asker closes
     end(id, "done");
     if (!link) return;
     link->busy = false;
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -2,6 +2,7 @@
 // which a script gives orders, and a record of what its sockets carried.
 //
 // Orders (POST /control, JSON {"order":...}): stall{on}, slow{factor}, error{on,class}, silent{on,class},
+// mute{on,class} (works, but nobody hears of it),
 // cut{on,from}, late_reports{ms}, drain{on}, crash, restart. `drain` turns away what is new, `restart` starts
 // the process anew, cold. An empty class means all. `cut` neither reads nor writes on
 // connections from addresses that begin with `from`, as a network does that drops packets.
@@ -45,7 +46,7 @@
     struct Ask {  // a request to this engine that is not answered yet
         Link* link = nullptr;
         Job job;
-        bool read = false, begun = false, repeat = false, silent = false;
+        bool read = false, begun = false, repeat = false, silent = false, muted = false;
         std::string host, remote;  // of the state: where, and under which read's id
         int port = 0, made = 0;
         long cached = 0;
@@ -81,7 +82,7 @@
     std::list<std::unique_ptr<Take>> takes_, dead_takes_;
     std::unordered_map<std::string, Ask> asks_;
     std::set<std::string> own_keys_;
-    std::set<std::string> error_classes_, silent_classes_, cut_from_;
+    std::set<std::string> error_classes_, silent_classes_, mute_classes_, cut_from_;
     std::deque<std::pair<Millis, double>> reports_;  // memory share by time, for late reports
     Millis report_delay_ = 0;
     bool draining_ = false;
