--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -27,6 +27,7 @@
     // Takes no more, lets streams end within the drain limit, then answers the rest; `done` at the end.
     void drain(std::function<void()> done);
     std::size_t open() const { return core_->open(); }
+    std::size_t most_waiting() const { return server_->most_waiting(); }
 
 private:
     Millis now() override;
--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -118,6 +118,7 @@
         if (std::exchange(unsent_, false)) std::erase(s_.unsent_, this);
         if (!stream_) return;
         stream_->write(std::exchange(out_, {}));
+        s_.most_waiting_ = std::max(s_.most_waiting_, stream_->queued());
         if (closing_ && stream_->queued() == 0) return stream_->shut();
         // Back-pressure: the engine's socket is not read while this client is behind.
         if (begun_ && open_ && !congested_ && stream_->queued() > s_.p_.limits.stream_buffer) {
--- a/src/gateway/server.h
+++ b/src/gateway/server.h
@@ -21,6 +21,8 @@
     // Takes no more: closes the listener and idle connections; requests that still come are refused.
     void drain();
     std::size_t connections() const { return all_.size(); }
+    // The most bytes that ever waited here for one client, beyond the kernel's own buffers.
+    std::size_t most_waiting() const { return most_waiting_; }
 
 private:
     friend class Connection;
@@ -37,7 +39,8 @@
     Ports& ports_;
     const std::uint64_t instance_;  // makes ids unique over all gateways and starts
     std::uint64_t count_ = 0;
-    std::size_t most_ = 0;         // connections served at once; more are answered 529
+    std::size_t most_ = 0;  // connections served at once; more are answered 529
+    std::size_t most_waiting_ = 0;
     std::size_t turned_away_ = 0;  // of all_, those beyond it
     bool draining_ = false;
     std::unique_ptr<net::Listener> listener_;
--- a/src/rules/checker.cpp
+++ b/src/rules/checker.cpp
@@ -318,6 +318,21 @@
     Finding cold() {
         Finding f{
             "4 no cold engine pushed over", "work sent by all gateways against what it can do", 0, 0, {}, {}};
+        // A send weighs as the mean work of its class, as done at all engines of the day; where nothing is
+        // known of it, as it asked for itself.
+        std::map<std::string, std::pair<double, long>> done;
+        const auto kind = [](const Record& recv) { return recv.text("op") + "/" + recv.text("cls"); };
+        for (const auto& h : held_) {
+            const auto it = by_id_.find(h.id);
+            if (it == by_id_.end() || !h.record->fields.contains("did")) continue;
+            auto& [sum, n] = done[kind(*attempts_[it->second.first][it->second.second].recv)];
+            sum += h.record->number("did"), ++n;
+        }
+        const auto weight = [&](const Record& recv) {
+            const auto it = done.find(kind(recv));
+            return it == done.end() ? recv.number("work")
+                                    : it->second.first / static_cast<double>(it->second.second);
+        };
         std::map<long, std::vector<const Record*>> sends;
         for (const auto& [request, list] : attempts_) {
             for (const auto& a : list) sends[a.server].push_back(a.recv);
@@ -335,7 +350,7 @@
                     if (age < 0 || age > warm) continue;
                     double work = 0, most = 0;
                     for (std::size_t k = i + 1; k-- > 0 && list[k]->t > list[i]->t - t_.fall_window;) {
-                        work += list[k]->number("work"), most = std::max(most, list[k]->number("work"));
+                        work += weight(*list[k]), most = std::max(most, weight(*list[k]));
                     }
                     const double start = up->number("start", 1);
                     const double can = (start + (1 - start) * age / warm) * t_.fall_window / 1000;
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -324,10 +324,12 @@
 // ---- what the model tells -------------------------------------------------------------------------------
 
 void Engine::read_done(const std::string& id, double kept) {
-    record("held", {{"id", id}});
     const auto it = asks_.find(id);
+    const double all = it == asks_.end() ? kept : it->second.job.prompt;
+    record("held", {{"id", id}, {"did", (all - kept) / o_.config.pace.read_per_s}});
     if (it == asks_.end()) return;  // its asker has gone and the kind does not cancel: the state stays
-    Link* link = it->second.muted ? nullptr : it->second.link;
+    if (it->second.muted && it->second.link) return;  // nobody is told: out until its asker closes
+    Link* link = it->second.link;
     const double prompt = it->second.job.prompt;
     end(id, "done");
     if (!link) return;
--- a/tests/program/checker_test.cpp
+++ b/tests/program/checker_test.cpp
@@ -204,6 +204,17 @@
     Story warm = flooded(17);
     warm.records[0].fields["cold"] = false;
     expect(warm, "");
+    // A send weighs as its class's mean work, as it was done.
+    Story light = flooded(17);
+    for (int i = 0; i < 17; ++i)
+        light
+            .add("engine", 1400, "held",
+                 {{"server", 9},
+                  {"did", 0.05},
+                  {"id", "req_0123456789abcdef000000" + std::to_string(10 + i) + ".0"}})
+            .add("engine", 1450, "let_go",
+                 {{"server", 9}, {"id", "req_0123456789abcdef000000" + std::to_string(10 + i) + ".0"}});
+    expect(light, "");
     Story one;  // one request is always allowed, however large
     one.add("engine", 1000, "up", {{"server", 9}, {"cold", true}, {"start", 0.3}, {"warm", 10000}});
     one.attempt(0, 9, "read", 1010, "chat", 99).at(9, 1020, "end", 0);
