Bench and gateway tests: a loop timer that arms itself anew, so neither sleeps for good

The memory run stopped because the bench slept, not the gateway: its 1 ms timer could fire as the loop began its turn, and the turn then waited without one (seen with a debugger: no timer, no time-out). The tests' wait had the same flaw.

--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -265,14 +265,15 @@
     // `rate` a second for `seconds`, then waits for the last; at most `most` requests.
     void run(double rate, double seconds, long most = 1L << 40) {
         const Millis began = net::now();
-        net::Timer timer(loop, [] {});
+        // Arms itself anew: one that fires as the loop begins its turn would leave it asleep for good.
+        net::Timer timer(loop, [&timer] { timer.after(1); });
+        timer.after(1);
         while (true) {
             const Millis t = net::now() - began;
             const long due = std::min(most, static_cast<long>(rate * std::min(t, seconds * 1000) / 1000));
             while (begun < due) ask();
             if ((t >= seconds * 1000 || begun >= most) && done >= begun) return;
             if (t > seconds * 1000 + 60000) return;
-            timer.after(1);
             uv_run(loop.raw(), UV_RUN_ONCE);
         }
     }
--- a/tests/program/gateway_test.cpp
+++ b/tests/program/gateway_test.cpp
@@ -121,9 +121,9 @@
     template <class F>
     bool until(F so) {
         const Millis end = net::now() + 10000;
-        net::Timer tick(loop, [] {});
+        net::Timer tick(loop, [&tick] { tick.after(1); });
+        tick.after(1);
         while (!so() && net::now() < end) {
-            tick.after(1);
             uv_run(loop.raw(), UV_RUN_ONCE);
         }
         return so();
