--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,34 +1,19 @@
 // The program's command line. Exit codes: 0 done, 1 a rule broke or a replay differed, 2 wrong use, 3 a file
-// was refused, 4 the system refused (an address in use, a process that can't be started).
-#include <unistd.h>
-
+// was refused, 4 the system refused (an address in use, a process that can't be started), 5 stopped by a
+// signal before its job was done.
 #include <CLI/CLI.hpp>
-#include <csignal>
-#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 
-#include "day/day.h"
-#include "gateway/serve.h"
-#include "log/log.h"
-#include "standin/engine.h"
+#include "cli/processes.h"
+#include "net/child.h"
 #include "state/journal.h"
 
 namespace {
 
 using namespace gorsenotch;
-
-constexpr int kBroken = 1, kRefused = 3, kSystem = 4;
-
-std::optional<settings::Program> load(const std::string& file) {
-    std::vector<settings::FileFault> faults;
-    auto p = settings::load(file, faults);
-    if (!p) std::cerr << settings::render(file, faults);
-    return p;
-}
-
-std::string self() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
+using namespace gorsenotch::cli;
 
 template <class T>
 int index_of(const std::vector<T>& names, const T& name) {
@@ -57,127 +42,6 @@
     }
 };
 
-std::string url(const std::string& listen, int port) {
-    return "http://" + listen.substr(0, listen.rfind(':')) + ":" + std::to_string(port);
-}
-
-// Runs a gateway until SIGTERM or SIGINT. `started` is called when it listens.
-int run_gateway(settings::Program program, const gateway::ServeOptions& options,
-                const std::function<void(net::Loop&)>& before = {}) {
-    log::open(program.log_level);
-    const std::string listen = program.listen;
-    net::Loop loop;
-    if (before) before(loop);
-    gateway::Gateway gate(loop, std::move(program), options);
-    if (const int e = gate.start()) {
-        std::cerr << listen << ": " << net::text(e) << '\n';
-        return kSystem;
-    }
-    std::cout << "ready " << url(listen, gate.port()) << std::endl;
-    bool draining = false;
-    const auto stop = [&] {
-        if (draining) return loop.stop();  // asked twice: at once
-        draining = true;
-        gate.drain([&] { loop.stop(); });
-    };
-    net::Signal term(loop, SIGTERM, stop), interrupt(loop, SIGINT, stop);
-    loop.run();
-    log::flush();
-    return 0;
-}
-
-struct StandinArgs {
-    std::string file, kind, address, control, record, keys;
-    ServerId server = 0;
-    bool cold = false;
-    std::vector<std::string> args;
-};
-
-std::optional<standin::EngineOptions> engine_options(const settings::Program& p, const StandinArgs& a) {
-    const int kind = index_of(p.kinds, a.kind);
-    if (kind < 0 || !p.standins.count(kind)) {
-        std::cerr << "--kind: the settings have no stand-in of kind '" << a.kind << "'\n";
-        return std::nullopt;
-    }
-    standin::EngineOptions o;
-    o.address = a.address, o.control = a.control, o.record = a.record, o.keys = a.keys;
-    o.server = a.server, o.cold = a.cold, o.args = a.args;
-    o.model_name = p.models.front();
-    const auto& k = p.module.kinds[static_cast<std::size_t>(kind)];
-    o.config.role = k.role, o.config.memory_tokens = k.memory_tokens, o.config.pace = p.standins.at(kind);
-    o.config.start_capacity = p.module.start_capacity, o.config.warm = p.module.warm_within;
-    o.config.local_read = p.module.local_read;
-    return o;
-}
-
-int run_standin(const StandinArgs& a) {
-    const auto p = load(a.file);
-    if (!p) return kRefused;
-    auto o = engine_options(*p, a);
-    if (!o) return kRefused;
-    net::Loop loop;
-    standin::Engine engine(loop, std::move(*o));
-    if (const int e = engine.start()) {
-        std::cerr << a.address << ": " << net::text(e) << '\n';
-        return kSystem;
-    }
-    std::cout << "ready " << url(a.address, engine.port()) << std::endl;
-    net::Signal term(loop, SIGTERM, [&] { loop.stop(); }), interrupt(loop, SIGINT, [&] { loop.stop(); });
-    loop.run();
-    return 0;
-}
-
-// Every engine of the settings as a stand-in process, and the gateway in this one.
-int run_up(const std::string& file, const std::string& listen) {
-    auto p = load(file);
-    if (!p) return kRefused;
-    if (!listen.empty()) p->listen = listen;
-    std::vector<std::unique_ptr<net::Child>> children;
-    const auto program = *p;
-    return run_gateway(*p, {}, [&](net::Loop& loop) {
-        for (const auto& e : program.engines) {
-            children.push_back(std::make_unique<net::Child>(loop, [id = e.entry.server](int status,
-                                                                                        int signal) {
-                log::write("warn", "standin_ended", {{"server", id}, {"status", status}, {"signal", signal}});
-            }));
-            const int error = children.back()->spawn(
-                {self(), "standin", file, "--server", std::to_string(e.entry.server), "--kind",
-                 program.kinds[static_cast<std::size_t>(e.entry.kind)], "--address", e.address},
-                "/dev/null");
-            if (error != 0) log::write("error", "standin", {{"error", net::text(error)}});
-        }
-        // They need a moment until they listen; the first clients should find them.
-        usleep(300000);
-    });
-}
-
-int run_day(const std::string& file, day::DayOptions options, int seeds) {
-    std::string faults;
-    const auto plan = day::load_plan(file, faults);
-    if (!plan) {
-        std::cerr << faults;
-        return kRefused;
-    }
-    int code = 0;
-    const std::uint64_t first = options.seed.value_or(plan->seed);
-    const std::string out = options.out;
-    for (int i = 0; i < seeds; ++i) {
-        options.seed = first + static_cast<std::uint64_t>(i);
-        if (seeds > 1) options.out = out + "/" + std::to_string(*options.seed);
-        auto result = day::Day(*plan, options).run();
-        std::printf("day %s, seed %llu, %.1f s, records in %s\n%s", plan->name.c_str(),
-                    static_cast<unsigned long long>(*options.seed), result.seconds, options.out.c_str(),
-                    rules::table(result.verdict).c_str());
-        if (!result.error.empty()) std::printf("not played through: %s\n", result.error.c_str());
-        if (!result.verdict.kept() || !result.error.empty()) code = kBroken;
-        std::printf("%s\n", !result.error.empty()   ? "NOT PLAYED"
-                            : result.verdict.kept() ? "all rules kept"
-                                                    : "A RULE BROKE");
-        std::fflush(stdout);
-    }
-    return code;
-}
-
 int run_replay(const std::string& settings_file, const std::string& journal, const Serve& with) {
     auto p = load(settings_file);
     if (!p || !with.apply(*p)) return kRefused;
@@ -198,27 +62,16 @@
     }
 }
 
-int run_client(day::ClientOptions o, const std::string& gateways) {
-    for (std::size_t from = 0; from <= gateways.size();) {
-        const auto comma = std::min(gateways.find(',', from), gateways.size());
-        o.gateways.push_back(gateways.substr(from, comma - from));
-        from = comma + 1;
-    }
-    net::Loop loop;
-    day::Clients clients(loop, std::move(o));
-    clients.start([&] { loop.stop(); });
-    loop.run();
-    return 0;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
+    if (!net::die_with_parent()) return kSystem;
     CLI::App app{"gorsenotch: a router for language-model serving with separate prefill and decode engines"};
     app.require_subcommand(1);
     app.footer(
         "Exit codes: 0 done, 1 a rule broke or a replay differed, 2 wrong use, 3 a file was refused,\n"
-        "4 the system refused (an address in use, a process that can't be started).\n\n"
+        "4 the system refused (an address in use, a process that can't be started), 5 stopped by a signal\n"
+        "before its job was done.\n\n"
         "Examples:\n"
         "  gorsenotch check examples/local.xml\n"
         "  gorsenotch up examples/local.xml\n"
@@ -311,7 +164,7 @@
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError& e) {
-        return app.exit(e) == 0 ? 0 : 2;
+        return app.exit(e) == 0 ? 0 : kUse;
     }
     if (*serve_cmd) {
         auto p = load(serve.file);
--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -107,15 +107,28 @@
         start_gate(*g);
         gates_.push_back(std::move(g));
     }
-    ready_by_ = net::now() + 15000;
-    wait_ready();
-    loop_.run();
-    for (auto& c : clients_) c->kill(SIGKILL);
-    for (auto& s : servers_) {
-        if (s->child) s->child->kill(SIGKILL);
-    }
+    const auto interrupt = [this] {
+        interrupted_ = true;
+        error_ = "stopped by a signal";
+        end();
+    };
+    net::Signal term(loop_, SIGTERM, interrupt), sigint(loop_, SIGINT, interrupt),
+        hangup(loop_, SIGHUP, interrupt);
+    later(15000, [this] {
+        if (playing_ || ended_) return;
+        system_ = true;
+        error_ = "not all processes came up in time; see the logs in " + o_.out;
+        end();
+    });
+    if (!ended_) loop_.run();
+    // All are gone when this returns, and their records are whole.
+    clients_.clear();
+    for (auto& s : servers_) s->child.reset();
+    for (auto& g : gates_) g->child.reset();
     result.seconds = (net::now() - began) / 1000;
     result.error = error_;
+    result.interrupted = interrupted_, result.system = system_;
+    if (interrupted_ || system_) return result;
     std::vector<std::string> files;
     for (const auto& f : std::filesystem::directory_iterator(o_.out + "/records"))
         files.push_back(f.path().string());
@@ -163,12 +176,17 @@
     if (cold) args.push_back("--cold");
     ++s.lives;
     s.up = true;
-    s.child = std::make_unique<net::Child>(loop_, [this, &s](int, int) {
+    const std::string log = o_.out + "/engine-" + id + ".log";
+    s.child = std::make_unique<net::Child>(loop_, [this, &s, id, log](int status, int signal) {
         recorder_->write(net::now(), "down", {{"server", s.engine.entry.server}});
         s.up = false;
+        // A crash that was ordered is a kill; an engine that ends by itself is a fault of the day.
+        if (signal == 0 && !ended_)
+            could_not_start("engine " + id + " at " + s.engine.address, log, status, signal);
     });
-    if (const int e = s.child->spawn(args, o_.out + "/engine-" + id + ".log"))
-        error_ = "standin: " + net::text(e);
+    hear(*s.child);
+    if (const int e = s.child->spawn(args, log))
+        error_ = "engine " + id + ": " + net::text(e), system_ = true, end();
 }
 
 void Day::start_gate(Gate& g) {
@@ -192,7 +210,9 @@
                                      "--seed",
                                      std::to_string(seed_ * 1000 + static_cast<std::uint64_t>(g.number))};
     g.expected = false;
-    g.child = std::make_unique<net::Child>(loop_, [this, &g](int status, int signal) {
+    const std::string log = o_.out + "/gateway-" + std::to_string(g.number) + ".log";
+    g.child = std::make_unique<net::Child>(loop_, [this, &g, log](int status, int signal) {
+        if (!playing_ && !ended_) return could_not_start("gateway " + g.name, log, status, signal);
         if (!g.expected || (stopping_ && (status != 0 || signal != 0)))
             error_ = "gateway " + g.name + " ended with status " + std::to_string(status) + ", signal " +
                      std::to_string(signal);
@@ -200,47 +220,34 @@
             std::none_of(gates_.begin(), gates_.end(), [](const auto& x) { return x->child->running(); }))
             end();
     });
-    if (const int e = g.child->spawn(args, o_.out + "/gateway-" + std::to_string(g.number) + ".log"))
-        error_ = "serve: " + net::text(e);
+    hear(*g.child);
+    if (const int e = g.child->spawn(args, log))
+        error_ = "gateway " + g.name + ": " + net::text(e), system_ = true, end();
 }
 
-// Tries to connect to each process in turn until all answer.
-void Day::wait_ready() {
-    struct Check {
-        std::size_t open = 0;
-        bool failed = false;
+// A process says `ready` on its standard output when it listens. Guards against another program on the
+// address, which would answer a connection just as well.
+void Day::hear(net::Child& child) {
+    if (playing_) return;
+    ++starting_;
+    child.on_line = [this](const std::string& line) {
+        if (playing_ || line.rfind("ready ", 0) != 0 || --starting_ > 0) return;
+        playing_ = true;
+        // The gateways have read their lists by now, or will within a look at the file.
+        later(100, [this] { start_clients(); });
     };
-    const auto check = std::make_shared<Check>();
-    std::vector<std::string> all;
-    for (const auto& s : servers_) all.push_back(s->engine.address);
-    for (const auto& g : gates_) all.push_back(g->address);
-    calls_.clear();
-    for (const auto& address : all) {
-        calls_.push_back(std::make_unique<net::Stream>(loop_));
-        calls_.back()->connect(address, "", [check](int e) { ++check->open, check->failed |= e != 0; });
-    }
-    check_ready([check, n = all.size()] { return check->open < n ? 0
-                                                 : check->failed ? -1
-                                                                 : 1; },
-                net::now() + 2000);
 }
 
-// Looks again until all have answered; what did not within a while is asked anew.
-void Day::check_ready(std::function<int()> state, Millis until) {
-    later(20, [this, state = std::move(state), until]() mutable {
-        const int now = state();
-        if (now > 0) {
-            calls_.clear();
-            // The gateways have read their lists by now, or will within a look at the file.
-            return later(100, [this] { start_clients(); });
-        }
-        if (net::now() > ready_by_ || !error_.empty()) {
-            if (error_.empty()) error_ = "not all processes came up in time; see the logs in " + o_.out;
-            return end();
-        }
-        if (now == 0 && net::now() < until) return check_ready(std::move(state), until);
-        wait_ready();
-    });
+void Day::could_not_start(const std::string& what, const std::string& log, int status, int signal) {
+    if (!error_.empty()) return;
+    std::string said;
+    std::ifstream in(log);
+    for (std::string line; std::getline(in, line);) said = line;
+    error_ = what + " did not start (" +
+             (signal ? "signal " + std::to_string(signal) : "exit code " + std::to_string(status)) +
+             "): " + (said.empty() ? "see " + log : said);
+    system_ = true;
+    end();
 }
 
 void Day::start_clients() {
--- a/src/day/day.h
+++ b/src/day/day.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "day/client.h"
+#include "net/child.h"
 #include "net/loop.h"
 #include "rules/checker.h"
 #include "settings/settings.h"
@@ -53,7 +54,9 @@
 
 struct DayResult {
     rules::Verdict verdict;
-    std::string error;  // the day could not be played, or a gateway died by itself
+    std::string error;         // the day could not be played, or a process died by itself
+    bool interrupted = false;  // a signal stopped it; nothing was judged
+    bool system = false;       // a process could not be started; nothing was judged
     double seconds = 0;
 };
 
@@ -69,8 +72,8 @@
     void start_server(Server& s, bool cold);
     void start_gate(Gate& g);
     void start_clients();
-    void wait_ready();
-    void check_ready(std::function<int()> state, Millis until);
+    void hear(net::Child& child);
+    void could_not_start(const std::string& what, const std::string& log, int status, int signal);
     void play(const Trouble& t, std::size_t number);
     std::vector<Server*> struck(const Trouble& t, std::mt19937_64& random);
     void crash(Server& s, const Trouble& t);
@@ -99,10 +102,11 @@
     std::list<std::unique_ptr<net::Stream>> calls_;
     std::uint64_t seed_ = 1;
     int octet_ = 1, clients_out_ = 0, next_place_ = 0;
+    std::size_t starting_ = 0;  // processes that do not listen yet, before the clients come
+    bool playing_ = false, interrupted_ = false, system_ = false;
     ServerId next_id_ = 0;
     bool ended_ = false, stopping_ = false;
     std::string error_;
-    Millis ready_by_ = 0;
 };
 
 }  // namespace gorsenotch::day
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -6,6 +6,8 @@
 
 #include <charconv>
 #include <csignal>
+#include <cstdio>
+#include <cstdlib>
 #include <cstring>
 
 namespace gorsenotch::net {
@@ -20,9 +22,31 @@
 }
 
 Loop::~Loop() {
-    // What owners left open is closed without their callbacks: they may be gone.
-    uv_run(&loop_, UV_RUN_NOWAIT);
-    uv_loop_close(&loop_);
+    // Guards against owners that outlive their loop: what they close later would be memory of a loop that is
+    // gone. Also catches a handle that nobody owns any more. Does harm only to a program that is wrong.
+    const auto left = open_handles();
+    if (!left.empty()) {
+        std::string text = "net::Loop destroyed before what was made on it:";
+        for (const auto& name : left) text += " " + name;
+        std::fprintf(stderr, "%s\n", text.c_str());
+        std::abort();
+    }
+    // All are closing: their last callbacks free them.
+    uv_run(&loop_, UV_RUN_DEFAULT);
+    if (uv_loop_close(&loop_) != 0) std::abort();
+}
+
+std::vector<std::string> Loop::open_handles() const {
+    std::vector<std::string> names;
+    uv_walk(
+        const_cast<uv_loop_t*>(&loop_),
+        [](uv_handle_t* h, void* out) {
+            if (uv_is_closing(h)) return;
+            const char* name = uv_handle_type_name(uv_handle_get_type(h));
+            static_cast<std::vector<std::string>*>(out)->push_back(name ? name : "unknown");
+        },
+        &names);
+    return names;
 }
 
 void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
@@ -358,72 +382,4 @@
     if (!mark.empty()) changed_();
 }
 
-// ---- Child ----------------------------------------------------------------------------------------------
-
-struct Child::Handle {
-    uv_process_t uv{};
-    uv_loop_t* loop = nullptr;
-    std::function<void(int, int)> exited;
-    bool running = false, owned = true, spawned = false;
-};
-
-Child::Child(Loop& loop, std::function<void(int, int)> exited) : h_(new Handle) {
-    h_->loop = loop.raw();
-    h_->exited = std::move(exited);
-}
-
-Child::~Child() {
-    h_->owned = false;
-    if (!h_->spawned) {
-        delete h_;
-        return;
-    }
-    if (h_->running) {
-        uv_process_kill(&h_->uv, SIGKILL);
-        return;  // freed when the exit is seen
-    }
-    uv_close(reinterpret_cast<uv_handle_t*>(&h_->uv),
-             [](uv_handle_t* u) { delete static_cast<Handle*>(u->data); });
-}
-
-int Child::spawn(const std::vector<std::string>& args, const std::string& log) {
-    std::vector<char*> argv;
-    for (const auto& a : args) argv.push_back(const_cast<char*>(a.c_str()));
-    argv.push_back(nullptr);
-    const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    uv_stdio_container_t io[3];
-    io[0].flags = UV_IGNORE;
-    for (int i = 1; i < 3; ++i) {
-        io[i].flags = fd >= 0 ? UV_INHERIT_FD : UV_IGNORE;
-        io[i].data.fd = fd;
-    }
-    uv_process_options_t o{};
-    o.file = argv[0];
-    o.args = argv.data();
-    o.stdio = io;
-    o.stdio_count = 3;
-    o.exit_cb = [](uv_process_t* p, std::int64_t status, int signal) {
-        auto* h = static_cast<Handle*>(p->data);
-        h->running = false;
-        if (h->owned) {
-            if (h->exited) h->exited(static_cast<int>(status), signal);
-            return;
-        }
-        uv_close(reinterpret_cast<uv_handle_t*>(p),
-                 [](uv_handle_t* u) { delete static_cast<Handle*>(u->data); });
-    };
-    h_->uv.data = h_;
-    h_->spawned = true;
-    const int e = uv_spawn(h_->loop, &h_->uv, &o);
-    h_->running = e == 0;
-    if (fd >= 0) ::close(fd);
-    return e;
-}
-
-void Child::kill(int signal) {
-    if (h_->running) uv_process_kill(&h_->uv, signal);
-}
-
-bool Child::running() const { return h_->running; }
-
 }  // namespace gorsenotch::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -3,8 +3,9 @@
 // Times are milliseconds on the host's monotonic clock, the same in every process of one machine.
 // Threading: one loop, one thread. Callbacks never run inside the call that caused them, except on_drain.
 // Ownership: every object here may be destroyed at any time, also inside its own callback; the handle behind
-// it is closed and freed by the loop. A Loop must outlive what was made on it.
-// Errors: calls that can fail return 0 or a negative libuv code; text(code) names it.
+// it is closed and freed by the loop. A Loop outlives all that was made on it: declare it first. ~Loop checks
+// that, names on standard error the kinds of handle that are still open, and aborts; what is closing it
+// frees. Errors: calls that can fail return 0 or a negative libuv code; text(code) names it.
 #pragma once
 
 #include <uv.h>
@@ -25,12 +26,14 @@
 class Loop {
 public:
     Loop();
-    ~Loop();  // closes what is left open
+    ~Loop();  // aborts if anything made on it is still open
     Loop(const Loop&) = delete;
     Loop& operator=(const Loop&) = delete;
     void run();
     void stop();
     uv_loop_t* raw() { return &loop_; }
+    // The kinds of those handles that are neither closed nor closing, e.g. "tcp", "timer", "process".
+    std::vector<std::string> open_handles() const;
 
 private:
     uv_loop_t loop_;
@@ -138,21 +141,4 @@
     Timer timer_;
 };
 
-// A child process. `exited` gets the exit status and the signal that ended it (0: none).
-class Child {
-public:
-    Child(Loop& loop, std::function<void(int, int)> exited);
-    ~Child();  // the process is killed if it still runs
-    Child(const Child&) = delete;
-    Child& operator=(const Child&) = delete;
-    // Standard output and error go to the file `log` (appended), input is empty.
-    int spawn(const std::vector<std::string>& args, const std::string& log);
-    void kill(int signal);
-    bool running() const;
-
-private:
-    struct Handle;
-    Handle* h_;
-};
-
 }  // namespace gorsenotch::net
--- a/src/rules/checker.cpp
+++ b/src/rules/checker.cpp
@@ -419,7 +419,8 @@
             turn.cls = a.cls, turn.worth = cls->worth;
             turn.began = std::min(turn.began, a.at);
             ++s.asked;
-            s.gone += a.gone, s.lost += a.lost;
+            s.gone += a.gone;
+            if (a.lost) ++(killed(a.gateway, a.at, a.ended) ? s.lost_killed : s.lost);
             const bool served = a.answers == 1 && a.status == 200 && a.ending == "whole";
             s.answered += served;
             s.refused += a.answers == 1 && a.status == 529;
@@ -489,10 +490,13 @@
         for (const auto& t : f.trace) out += "        " + t + "\n";
     }
     const Service& s = v.service;
-    std::snprintf(line, sizeof line,
-                  "asks %ld: served %ld, refused %ld, failed %ld, left by the client %ld, lost %ld\n"
-                  "service %.3f (worth in time over worth asked, retries with their first try)",
-                  s.asked, s.answered, s.refused, s.failed, s.gone, s.lost, s.worth);
+    std::snprintf(
+        line, sizeof line,
+        "asks %ld: served %ld, refused %ld, failed %ld, left by the client %ld, connection lost "
+        "with a gateway that the day killed %ld (excused by rule 1: the client's to retry), with one "
+        "that lived %ld (breaks it)\n"
+        "service %.3f (worth in time over worth asked, retries with their first try)",
+        s.asked, s.answered, s.refused, s.failed, s.gone, s.lost_killed, s.lost, s.worth);
     out += line;
     for (const auto& [name, worth] : s.by_class) {
         std::snprintf(line, sizeof line, ", %s %.3f", name.c_str(), worth);
--- a/src/rules/checker.h
+++ b/src/rules/checker.h
@@ -27,7 +27,10 @@
 };
 
 struct Service {
-    long asked = 0, answered = 0, refused = 0, failed = 0, gone = 0, lost = 0;
+    long asked = 0, answered = 0, refused = 0, failed = 0, gone = 0;
+    // The connection broke without an answer: because the runner had killed its gateway, which then owes
+    // nothing (the client's to retry), or with the gateway alive, which breaks rule 1.
+    long lost_killed = 0, lost = 0;
     double worth = 0;  // earned over asked, retries counted with their first try; 0 to 1
     std::vector<std::pair<std::string, double>> by_class;
     double p50 = 0, p99 = 0, p999 = 0;  // ms to the first token or whole answer, of those served
--- a/src/standin/engine.cpp
+++ b/src/standin/engine.cpp
@@ -116,11 +116,13 @@
 
 Engine::~Engine() = default;
 
-int Engine::start() {
+int Engine::start(std::string& at) {
+    at = o_.address;
     listener_ = std::make_unique<net::Listener>(loop_);
     listener_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s), false); };
     if (const int e = listener_->listen(o_.address)) return e;
     if (!o_.control.empty()) {
+        at = o_.control;
         control_ = std::make_unique<net::Listener>(loop_);
         control_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s), true); };
         if (const int e = control_->listen(o_.control)) return e;
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -37,7 +37,7 @@
 public:
     Engine(net::Loop& loop, EngineOptions options);
     ~Engine();
-    int start();  // 0 or a libuv error of listening
+    int start(std::string& at);  // 0, or a libuv error of listening and the address that it is about
     int port() const { return listener_->port(); }
     int control_port() const { return control_ ? control_->port() : 0; }
 
--- a/src/standin/model.cpp
+++ b/src/standin/model.cpp
@@ -22,7 +22,9 @@
                                         "river", "fern",  "hill",  "gate",      "wren",  "dew",
                                         "ridge", "ford",  "heath", "\xC3\xB6re"};
     const auto x = scramble(seed + static_cast<std::uint64_t>(index) * 0x9E3779B97F4A7C15ULL);
-    return (index == 0 ? "" : " ") + std::string(words[x % 16]) + std::to_string(index);
+    std::string text;
+    if (index != 0) text.push_back(' ');
+    return text.append(words[x % 16]).append(std::to_string(index));
 }
 
 int answer_length(std::uint64_t seed, int usual) {
--- /dev/null
+++ b/tests/program/net_test.cpp
@@ -0,0 +1,98 @@
+// The loop's ownership and its child processes.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+
+#include <csignal>
+#include <fstream>
+#include <memory>
+
+#include "net/child.h"
+#include "net/loop.h"
+
+namespace gorsenotch::net {
+namespace {
+
+bool alive(int pid) { return ::kill(pid, 0) == 0; }
+
+TEST(Loop, NamesWhatOutlivesIt) {
+    const auto outlived = [] {
+        auto loop = std::make_unique<Loop>();
+        auto timer = std::make_unique<Timer>(*loop, [] {});
+        auto listener = std::make_unique<Listener>(*loop);
+        loop.reset();
+    };
+    EXPECT_DEATH(outlived(), "destroyed before what was made on it: (timer tcp|tcp timer)");
+}
+
+TEST(Loop, FreesWhatIsClosingWithoutATurn) {
+    Loop loop;
+    {
+        Timer timer(loop, [] {});
+        timer.after(1000);
+        Turn turn(loop, [] {});
+        turn.ask();
+        Signal signal(loop, SIGUSR2, [] {});
+        Listener listener(loop);
+        ASSERT_EQ(listener.listen("127.0.0.1:0"), 0);
+        Stream a(loop), b(loop);
+        ASSERT_EQ(a.connect("127.0.0.1:" + std::to_string(listener.port()), "", [](int) { FAIL(); }), 0);
+        EXPECT_EQ(loop.open_handles().size(), 7u);
+    }
+    EXPECT_TRUE(loop.open_handles().empty());
+}
+
+TEST(Child, TellsItsLinesAndItsEnd) {
+    Loop loop;
+    std::vector<std::string> lines;
+    int status = -1, signal = -1;
+    Child child(loop, [&](int st, int si) { status = st, signal = si; });
+    child.on_line = [&](const std::string& l) { lines.push_back(l); };
+    ASSERT_EQ(child.spawn({"/bin/sh", "-c", "echo one; printf 'two\nhalf'; exit 7"}, "/dev/null"), 0);
+    loop.run();
+    EXPECT_EQ(lines, (std::vector<std::string>{"one", "two"}));
+    EXPECT_EQ(status, 7);
+    EXPECT_EQ(signal, 0);
+    EXPECT_FALSE(child.running());
+}
+
+TEST(Child, ALongLineIsCutAndAProgramThatIsNotThereIsAnError) {
+    Loop loop;
+    std::size_t size = 0;
+    Child child(loop, [](int, int) {});
+    child.on_line = [&](const std::string& l) { size = l.size(); };
+    ASSERT_EQ(child.spawn({"/bin/sh", "-c", "head -c 100000 /dev/zero | tr '\\0' x; echo"}, "/dev/null"), 0);
+    Child none(loop, [](int, int) { FAIL(); });
+    EXPECT_EQ(none.spawn({"/nowhere/at/all"}, "/dev/null"), UV_ENOENT);
+    EXPECT_FALSE(none.running());
+    loop.run();
+    EXPECT_EQ(size, 4096u);
+}
+
+TEST(Child, IsGoneWhenItsOwnerIs) {
+    Loop loop;
+    int pid = 0;
+    {
+        Child child(loop, [](int, int) { FAIL() << "told of an end that its owner made"; });
+        ASSERT_EQ(child.spawn({"/bin/sleep", "60"}, "/dev/null"), 0);
+        pid = child.pid();
+        ASSERT_TRUE(alive(pid));
+    }
+    EXPECT_FALSE(alive(pid));
+    Child never(loop, [](int, int) {});  // never started
+}
+
+TEST(Child, MayBeDestroyedByItsOwnCallbacks) {
+    Loop loop;
+    auto child = std::make_unique<Child>(loop, [](int, int) {});
+    child->on_line = [&](const std::string&) { child.reset(); };
+    ASSERT_EQ(child->spawn({"/bin/sh", "-c", "echo a; echo b; sleep 60"}, "/dev/null"), 0);
+    loop.run();
+    EXPECT_EQ(child, nullptr);
+    child = std::make_unique<Child>(loop, [&](int, int) { child.reset(); });
+    ASSERT_EQ(child->spawn({"/bin/true"}, "/dev/null"), 0);
+    loop.run();
+    EXPECT_EQ(child, nullptr);
+}
+
+}  // namespace
+}  // namespace gorsenotch::net
