A gateway that stops serves on and hands its streams back before it is killed

Change: decide/departure: new requests are taken for 0.7 of the time until the kill, streams are handed back at an even pace in its second half, what has not begun is refused before its end. The ends of chunks are checked in http/parser: the library takes any two bytes there, so a chunk of a wrong size was read on.

--- /dev/null
+++ b/src/decide/departure.cpp
@@ -0,0 +1,30 @@
+#include "decide/departure.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gorsenotch::decide {
+
+namespace {
+constexpr double kOpen = 0.7;   // and in which new requests are taken
+constexpr double kLeft = 0.5;   // part of the time in which streams are left to end by themselves
+constexpr Millis kSpare = 300;  // before the kill: the last answers have left, the last states are let go of
+}  // namespace
+
+Departure::Departure(Millis told, Millis killed)
+    : begin_(told + kLeft * (killed - told)),
+      depart_(told + kOpen * (killed - told)),
+      end_(std::max(begin_, killed - kSpare)),
+      last_(begin_) {}
+
+std::size_t Departure::hand_back(Millis now, std::size_t open) {
+    if (now >= end_) return open;
+    if (now <= last_ || open == 0) return 0;
+    // The same share of what is left in each stretch of the time that is left.
+    const double share = (now - last_) / (end_ - last_);
+    const auto n = static_cast<std::size_t>(std::floor(share * static_cast<double>(open)));
+    if (n > 0) last_ = now;
+    return std::min(n, open);
+}
+
+}  // namespace gorsenotch::decide
--- /dev/null
+++ b/src/decide/departure.h
@@ -0,0 +1,31 @@
+// How a gateway that was told to stop parts from the streams it cannot finish: before it is killed, at an
+// even pace, so that their prompts are not all read anew at once. No I/O; the clock is handed in, ms.
+//
+// A stream cut off by the kill fails; one handed back before goes on elsewhere from its last token, at the
+// price of reading its prompt again. Those that may still end are left to end, hence the wait.
+#pragma once
+
+#include <cstddef>
+
+#include "gorsenotch/logic.h"
+
+namespace gorsenotch::decide {
+
+class Departure {
+public:
+    // `told`: when it was told to stop; `killed`: when it may be killed, at the earliest.
+    Departure(Millis told, Millis killed);
+
+    // How many of the `open` streams are to be handed back now. Calls may come at any pace.
+    std::size_t hand_back(Millis now, std::size_t open);
+    // Whether new requests are taken no more: late, as in their zone there may be no other gateway that takes
+    // them.
+    bool depart(Millis now) const { return now >= depart_; }
+    // Whether what has not begun is to be given its answer now.
+    bool refuse_rest(Millis now) const { return now >= end_; }
+
+private:
+    Millis begin_, depart_, end_, last_;
+};
+
+}  // namespace gorsenotch::decide
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -44,6 +44,14 @@
     return 0;
 }
 
+// Guards against a chunk that does not have the size it says: the library, as Debian builds it, takes any two
+// bytes for the end of a chunk's line.
+void Parser::check_line_end(const char* at) {
+    for (; line_end_ > 0 && at < end_; ++at, --line_end_) {
+        if (*at != (line_end_ == 2 ? '\r' : '\n')) fault_ = Fault::malformed;
+    }
+}
+
 const http_parser_settings& Parser::settings() {
     static const http_parser_settings s = [] {
         http_parser_settings t;
@@ -99,8 +107,12 @@
                 m->fault_ = Fault::body_too_large;
                 return 1;
             }
+            if ((p->flags & F_CHUNKED) != 0 && p->content_length == 0) {
+                m->line_end_ = 2;
+                m->check_line_end(at + n);
+            }
             if (m->on_body) m->on_body({at, n});
-            return 0;
+            return m->fault_ == Fault::none ? 0 : 1;
         };
         t.on_chunk_header = [](http_parser* p) {
             auto* m = static_cast<Parser*>(p->data);
@@ -124,6 +136,9 @@
     if (fault_ != Fault::none || bytes.empty()) return 0;
     if (HTTP_PARSER_ERRNO(&p_) == HPE_PAUSED) http_parser_pause(&p_, 0);
     complete_ = false;
+    end_ = bytes.data() + bytes.size();
+    check_line_end(bytes.data());
+    if (fault_ != Fault::none) return 0;
     std::size_t n = http_parser_execute(&p_, &settings(), bytes.data(), bytes.size());
     const auto error = HTTP_PARSER_ERRNO(&p_);
     if (error == HPE_PAUSED || (complete_ && error == HPE_OK)) {
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -62,12 +62,15 @@
     static int header_field(http_parser* p, const char* at, std::size_t n);
     static int header_value(http_parser* p, const char* at, std::size_t n);
     bool take(std::size_t n);
+    void check_line_end(const char* at);
     static const http_parser_settings& settings();
 
     http_parser p_{};
     Limits limits_;
     Fault fault_ = Fault::none;
     bool complete_ = false, begun_ = false, value_ = false;
+    const char* end_ = nullptr;  // of the bytes being fed
+    int line_end_ = 0;           // bytes that a chunk still owes: its CR and LF
     std::size_t header_bytes_ = 0, body_bytes_ = 0;
 };
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -127,17 +127,28 @@
     done_ = std::move(done);
     log("info", "stopping", std::to_string(relay_.open()) + " open");
     clients_.drain();
-    drainer_.after(kStillServed);
+    // The platform kills no sooner than after the longest deadline, counted as 3 s where it is longer, and
+    // 0.7 s.
+    Millis longest = 0;
+    for (const auto& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+    departure_.emplace(stopped_, stopped_ + std::min(longest, 3000.0) + 700);
+    drainer_.after(20);
 }
 
 void Node::drain_step() {
-    clients_.depart();
+    drainer_.after(20);
+    const Millis now = net::now();
+    // With nothing open it may go once new connections have ceased to come.
+    const bool quiet = now - stopped_ >= kStillServed && relay_.open() == 0 && clients_.connections() == 0;
+    if (!quiet && !departure_->depart(now) && relay_.streams() == 0) return;
+    if (quiet || departure_->depart(now)) clients_.depart();
+    if (config_.named.settings.resume) relay_.hand_back(departure_->hand_back(now, relay_.streams()));
+    if (departure_->refuse_rest(now)) relay_.refuse_rest();
     if (relay_.open() == 0 && relay_.let_gos() == 0 && clients_.connections() == 0) {
         status();
+        drainer_.stop();
         if (done_) done_();
-        return;
     }
-    drainer_.after(20);
 }
 
 void Node::start(const std::string& address, std::string request, std::shared_ptr<Attempt> attempt) {
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "decide/departure.h"
 #include "gateway/upstream.h"
 #include "platform/clients.h"
 #include "platform/config.h"
@@ -49,6 +50,7 @@
     net::Timer ticker_, drainer_, teller_;
     bool waking_ = false;
     Millis stopped_ = 0, started_ = 0;
+    std::optional<decide::Departure> departure_;
     std::function<void()> done_;
 };
 
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -264,10 +264,10 @@
     const Host* best = nullptr;
     double best_worth = -1e300;
     for (const auto& [server, host] : hosts_.all()) {
-        double worth = std::min(host.good, now) - (host.bad > host.good ? 1e12 : 0);
+        double worth = std::max(host.good - now, -60000.0) - (host.bad > host.good ? 1e6 : 0);
         if (ports_.connected(host.dial)) worth += 2000;
         if (server == l.holder) worth += 500;
-        worth -= 1e15 * static_cast<double>(std::count(l.asked.begin(), l.asked.end(), server));
+        worth -= 1e9 * static_cast<double>(std::count(l.asked.begin(), l.asked.end(), server));
         if (worth > best_worth) best = &host, best_worth = worth;
     }
     driver_.alarm(Kind::let_go, now + kLetGoTry, nullptr, 0, id, true);
@@ -396,6 +396,45 @@
     driver_.feed(std::move(o));
 }
 
+std::size_t Relay::streams() const {
+    return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [](const auto& r) {
+        return !r.second.closed && !r.second.tries.empty() && r.second.tries.back().first;
+    }));
+}
+
+void Relay::hand_back(std::size_t n) {
+    std::vector<std::uint64_t> handles;
+    for (const auto& [handle, r] : requests_) {
+        if (!r.closed && !r.tries.empty() && r.tries.back().first) handles.push_back(handle);
+    }
+    std::sort(handles.rbegin(), handles.rend());  // the latest have the most ahead of them
+    if (handles.size() > n) handles.resize(n);
+    for (const auto handle : handles) {
+        Request* r = find(handle);
+        if (!r || r->closed) continue;
+        ++counts_.moved;
+        cut(*r);
+        Try& t = r->tries.back();
+        if (t.out) stop(t, Result::cancelled, "handed back");
+    }
+}
+
+void Relay::refuse_rest() {
+    std::vector<std::uint64_t> handles;
+    for (const auto& [handle, r] : requests_) {
+        if (!r.closed && (r.tries.empty() || !r.tries.back().first)) handles.push_back(handle);
+    }
+    for (const auto handle : handles) {
+        Request* r = find(handle);
+        if (!r || r->closed) continue;
+        const bool harmless =
+            named_.settings.classes[static_cast<std::size_t>(r->in.arrival.cls)].effect == Effect::repeatable;
+        ++(harmless ? counts_.refused : counts_.failed);
+        final(*r, harmless ? 503 : 502, 0, "stopping");
+        driver_.feed(ClientGone{std::to_string(handle)});
+    }
+}
+
 void Relay::due(const Driver::Alarm& a) {
     if (a.kind == Kind::let_go) return try_let_go(a.label);
     Request* r = a.owner;
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -62,6 +62,12 @@
     void client_gone(std::uint64_t handle);
     void client_congested(std::uint64_t handle, bool congested);
 
+    // For a gateway that stops. Streams that have begun and not ended; the latest `n` of them are handed back
+    // to their clients, which ask for the rest elsewhere; what has not begun gets its answer.
+    std::size_t streams() const;
+    void hand_back(std::size_t n);
+    void refuse_rest();
+
     Millis tick() { return driver_.tick(); }
     void sleeps(Millis due) { driver_.sleeps(due); }
     void looked(Millis at) { driver_.looked(at); }
--- /dev/null
+++ b/tests/program/departure_test.cpp
@@ -0,0 +1,42 @@
+// Parting from streams before a planned restart kills them: pure, driven by a clock of the test's own.
+#include "decide/departure.h"
+
+#include <gtest/gtest.h>
+
+namespace gorsenotch::test {
+namespace {
+
+TEST(Departure, StreamsAreHandedBackAtAnEvenPaceAndAllBeforeTheKill) {
+    for (const Millis step : {5.0, 20.0, 90.0}) {
+        decide::Departure d(1000, 4700);
+        std::size_t open = 100, most = 0;
+        Millis first = 0;
+        for (Millis now = 1000; now < 4700; now += step) {
+            const std::size_t n = d.hand_back(now, open);
+            ASSERT_LE(n, open);
+            if (n > 0 && first <= 0) first = now;
+            if (now < 4350) most = std::max(most, n);
+            open -= n;
+        }
+        EXPECT_EQ(open, 0u) << step;
+        EXPECT_GT(first, 2500) << "those that may still end are left to";
+        EXPECT_LE(most, static_cast<std::size_t>(2 + 100 * step / 1000)) << "not many at once";
+    }
+}
+
+TEST(Departure, NewRequestsAreTakenForLongAndAnsweredInTheEnd) {
+    const decide::Departure d(0, 3700);
+    EXPECT_FALSE(d.depart(2000));
+    EXPECT_TRUE(d.depart(2800));
+    EXPECT_FALSE(d.refuse_rest(3000));
+    EXPECT_TRUE(d.refuse_rest(3500));
+}
+
+TEST(Departure, NoTimeAtAllHandsAllBackAtOnce) {
+    decide::Departure d(0, 0);
+    EXPECT_EQ(d.hand_back(0, 7), 7u);
+    EXPECT_TRUE(d.refuse_rest(0));
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
