--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -49,9 +49,22 @@
       ports_(ports),
       error_body_(std::move(error_body)),
       dialect_(engine::vllm()),
-      router_(program.module, seed),
-      alarms_(&Request::alarms),
-      timeouts_(&Request::timeouts) {}
+      driver_(program.module, seed, &Request::alarms, &Request::timeouts) {
+    driver_.now = [this] { return ports_.now(); };
+    driver_.seen = [this](Millis now, const Event& e) {
+        if (witness) witness->event(now, e);
+    };
+    driver_.done = [this](const Action& a) {
+        if (witness) witness->action(a);
+    };
+    driver_.carry = [this](const Action& a) { carry(a); };
+    driver_.rest = [this] { sweep(); };
+    driver_.due = [this](const Driver::Alarm& a) { due(a); };
+    driver_.stood_still = [this](Millis ms) { ports_.stood_still(ms); };
+    driver_.on_wake = [this] {
+        if (on_wake) on_wake();
+    };
+}
 
 Core::~Core() = default;
 
@@ -84,7 +97,7 @@
 
 bool Core::arrive(NewRequest request) {
     if (requests_.size() >= p_.limits.open_requests) return false;
-    catch_up();
+    driver_.catch_up();
     const Millis now = ports_.now();
     const Millis asked = now - request.age;  // its client has waited since then
     const auto& cls = p_.module.classes[static_cast<std::size_t>(request.cls)];
@@ -112,7 +125,7 @@
 }
 
 void Core::client_gone(const std::string& id) {
-    catch_up();
+    driver_.catch_up();
     Request* r = find(id);
     if (!r || r->closed) return;
     r->r.client = nullptr;
@@ -138,32 +151,6 @@
 
 // ---- the Router -----------------------------------------------------------------------------------------
 
-void Core::feed(Event e) {
-    events_.push_back(std::move(e));
-    if (!pumping_) pump();
-}
-
-// Events that come up while actions are carried out wait their turn: the Router sees them in order, one by
-// one.
-void Core::pump() {
-    pumping_ = true;
-    std::vector<Action> actions;
-    while (!events_.empty()) {
-        const Event e = std::move(events_.front());
-        events_.pop_front();
-        actions.clear();
-        const Millis now = ports_.now();
-        if (witness) witness->event(now, e);
-        router_.handle(now, e, actions);
-        for (const auto& a : actions) {
-            if (witness) witness->action(a);
-            carry(a);
-        }
-    }
-    pumping_ = false;
-    sweep();
-}
-
 void Core::sweep() {
     for (std::size_t i = 0; i < done_.size(); ++i) {
         Request* r = find(done_[i]);
@@ -171,8 +158,7 @@
         if (std::any_of(r->tries.begin(), r->tries.end(), [](const Try& t) { return t.out; })) continue;
         drop(*r, true);
         report(*r);
-        alarms_.drop(*r);
-        timeouts_.drop(*r);
+        driver_.drop(*r);
         requests_.erase(done_[i]);
     }
     done_.clear();
@@ -189,13 +175,12 @@
                           [&](const Fail& a) {
                               if (Request* r = find(a.request)) refuse(*r, 500, kFailed, -1, false);
                           },
-                          [&](const SetTimer& a) { alarm(Kind::router, a.at, nullptr, 0, a.label); },
                           [&](const Log& a) {
                               ports_.log("info", "router", {{"text", a.text}});
                           },
-                          // Not permitted by the settings of this program, so never asked for.
-                          [&](const HoldPlace&) {}, [&](const MoveStream&) {}, [&](const Probe&) {},
-                          [&](const Subscribe&) {}, [&](const FetchList&) {}},
+                          // Timers are the driver's. The rest the settings of this program do not permit.
+                          [&](const SetTimer&) {}, [&](const HoldPlace&) {}, [&](const MoveStream&) {},
+                          [&](const Probe&) {}, [&](const Subscribe&) {}, [&](const FetchList&) {}},
                action);
 }
 
@@ -208,7 +193,7 @@
     t.server = a.server;
     t.id = a.request + "." + std::to_string(n);
     t.sent = t.heard = now;
-    t.time = {now, a.limit, r->deadline, lateness_.stood(), lateness_.stood()};
+    t.time = {now, a.limit, r->deadline, driver_.lateness().stood(), driver_.lateness().stood()};
     const auto it = servers_.find(a.server);
     // Guards against a send to a server that the latest list no longer holds; nothing was sent then.
     if (it == servers_.end() || it->second.entry.mode == Mode::gone || r->closed) {
@@ -232,9 +217,9 @@
     t.exchange->on_sent = [this, id, n] {
         // A connection that opened while this process stood still: found now, seen to with the next event, as
         // the one who calls can't have its connection taken from under it.
-        lateness_.works(ports_.now());
+        driver_.lateness().works(ports_.now());
         Try* sent = find_try(find(id), n);
-        if (sent && !sent->handed) sent->handed = true, sent->time.stood_handed = lateness_.stood();
+        if (sent && !sent->handed) sent->handed = true, sent->time.stood_handed = driver_.lateness().stood();
     };
     t.exchange->on_first = [this, id, n] { first(id, n); };
     t.exchange->on_text = [this, id, n](std::string_view piece) { text(id, n, piece); };
@@ -309,7 +294,7 @@
 }
 
 void Core::first(const std::string& id, int attempt) {
-    catch_up();
+    driver_.catch_up();
     Request* r = find(id);
     Try* t = find_try(r, attempt);
     if (!t || !t->out) return;
@@ -352,7 +337,7 @@
 }
 
 void Core::over(const std::string& id, int attempt, Ending e) {
-    catch_up();
+    driver_.catch_up();
     Request* r = find(id);
     Try* t = find_try(r, attempt);
     if (!t || !t->out) return;
@@ -405,7 +390,6 @@
 }
 
 void Core::end_all() {
-    ending_ = true;
     std::vector<std::string> ids;
     for (const auto& [id, r] : requests_) ids.push_back(id);
     std::sort(ids.begin(), ids.end());
@@ -432,60 +416,19 @@
 
 // ---- time -----------------------------------------------------------------------------------------------
 
-void Core::alarm(Kind kind, Millis at, Request* owner, int attempt, std::uint64_t label) {
-    Timers& timers = kind == Kind::limit || kind == Kind::idle ? timeouts_ : alarms_;
-    timers.set(at, kind, owner, attempt, label);
-    if (at < next_ && on_wake) on_wake();
-}
-
-// Guards against decisions on what was so before a standstill: the list is looked at, and what fell due of
-// deadlines and the Router's timers goes before the events that waited in the sockets.
-void Core::catch_up() {
-    if (catching_up_ || pumping_) return;
-    const Millis now = ports_.now();
-    lateness_.works(now);
-    const Millis stood = lateness_.stood() - caught_up_;
-    if (stood <= 0) return;
-    catching_up_ = true;
-    caught_up_ += stood;
-    ports_.stood_still(stood);
-    run(alarms_, alarms_.order(), now);
-    catching_up_ = false;
-}
-
-void Core::run(Timers& timers, std::uint64_t last, Millis until) {
-    Timers::Alarm a;
-    while (timers.take(until, last, a)) due(a);
-}
-
-Millis Core::tick() {
-    catch_up();
-    const Millis now = ports_.now();
-    // Only what was set before this call: a timer set while one fires comes with the next turn.
-    const std::uint64_t last = alarms_.order(), last_timeout = timeouts_.order();
-    run(alarms_, last, now);
-    Timers::Alarm a;
-    while (!timeouts_.empty() && lateness_.may_judge(timeouts_.next()) &&
-           timeouts_.take(now, last_timeout, a))
-        due(a);
-    next_ = alarms_.empty() ? now + 1000 : std::max(alarms_.next(), now);
-    // One that could not be judged yet waits for the look between this turn and the next.
-    if (!timeouts_.empty()) {
-        const Millis next = timeouts_.next();
-        next_ = std::min(next_, next > now ? next : now + 1);
-    }
-    return next_;
+void Core::alarm(Kind kind, Millis at, Request* owner, int attempt) {
+    // Time-outs of engines are judged only after a look at the sockets; the rest is on time.
+    driver_.alarm(kind, at, owner, attempt, 0, kind == Kind::limit || kind == Kind::idle);
 }
 
-void Core::due(const Timers::Alarm& a) {
-    if (a.kind == Kind::router) return feed(Due{a.label});
+void Core::due(const Driver::Alarm& a) {
     Request* r = a.owner;
     const Millis now = ports_.now();
     const std::string id = r->r.id;
     if (a.kind == Kind::limit) {
         Try* t = find_try(r, a.attempt);
         if (!t || !t->out || t->first) return;
-        if (!t->handed) t->time.stood_handed = lateness_.stood();
+        if (!t->handed) t->time.stood_handed = driver_.lateness().stood();
         if (t->time.due() > now) return alarm(Kind::limit, t->time.due(), r, a.attempt);
         end_exchange(*t, t->time.engines_fault() ? &Exchange::expired : &Exchange::cancelled);
     } else if (a.kind == Kind::idle) {
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -7,15 +7,13 @@
 // from within its calls to them, except where said.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
 
-#include "decide/lateness.h"
-#include "gateway/alarms.h"
+#include "gateway/driver.h"
 #include "gateway/exchange.h"
 #include "settings/settings.h"
 #include "state/witness.h"
@@ -81,18 +79,15 @@
     void client_gone(const std::string& id);
     void client_congested(const std::string& id, bool congested);
     // Does what is due; returns the time at which it wants to be called next.
-    Millis tick();
+    Millis tick() { return driver_.tick(); }
     // The host's loop is about to wait until `due` at most; it has looked at its sockets at `at`.
-    void sleeps(Millis due) { lateness_.sleeps(ports_.now(), next_ > 0 ? std::min(due, next_) : due); }
-    void looked(Millis at) {
-        catch_up();
-        lateness_.looked(at);
-    }
+    void sleeps(Millis due) { driver_.sleeps(due); }
+    void looked(Millis at) { driver_.looked(at); }
     // Gives every open request its one answer and lets go of all states: the gateway is about to stop.
     void end_all();
 
     std::size_t open() const { return requests_.size(); }
-    std::size_t alarms() const { return alarms_.size() + timeouts_.size(); }
+    std::size_t alarms() const { return driver_.alarms(); }
     std::function<void()> on_wake;      // a timer was set that is earlier than what tick() last returned
     state::Witness* witness = nullptr;  // not owned; may be null
 
@@ -107,7 +102,7 @@
     };
     enum class Kind { router, limit, idle, whole, ping };
     struct Request;
-    using Timers = Alarms<Request, Kind>;
+    using Driver = gateway::Driver<Request, Kind>;
     struct Request {
         NewRequest r;
         Millis arrived = 0, deadline = 0, spoke = 0, closed_at = 0;
@@ -120,13 +115,12 @@
         int status = 0;
         front::Usage usage;
         const char* ending = "";
-        Timers::Mine alarms, timeouts;
+        Driver::Mine alarms, timeouts;
     };
 
     Request* find(const std::string& id);
     Try* find_try(Request* r, int attempt);
-    void feed(Event e);
-    void pump();
+    void feed(Event e) { driver_.feed(std::move(e)); }
     void sweep();
     void carry(const Action& a);
     void start(const Attempt& a);
@@ -139,27 +133,18 @@
     void over(const std::string& id, int attempt, Ending e);
     void close(Request& r, int status, const char* ending);
     void end_exchange(Try& t, void (Exchange::*how)());
-    void alarm(Kind kind, Millis at, Request* owner = nullptr, int attempt = 0, std::uint64_t label = 0);
-    void due(const Timers::Alarm& a);
-    void catch_up();
-    void run(Timers& timers, std::uint64_t last, Millis until);
+    void alarm(Kind kind, Millis at, Request* owner, int attempt = 0);
+    void due(const Driver::Alarm& a);
     void report(const Request& r);
 
     const settings::Program& p_;
     Ports& ports_;
     ErrorBody error_body_;
     std::unique_ptr<engine::Dialect> dialect_;
-    Router router_;
+    Driver driver_;
     std::unordered_map<std::string, Request> requests_;
     std::map<ServerId, settings::Engine> servers_;
-    std::deque<Event> events_;
     std::vector<std::string> done_;  // closed requests to look at once the Router is at rest
-    bool pumping_ = false, catching_up_ = false, ending_ = false;
-    Millis caught_up_ = 0;  // standstills, in sum, that catch_up has seen to
-    // Time-outs of engines (limit, idle) are judged only after a look at the sockets; the rest is on time.
-    Timers alarms_, timeouts_;
-    decide::Lateness lateness_;
-    Millis next_ = 0;
 };
 
 }  // namespace gorsenotch::gateway
--- a/src/gateway/driver.h
+++ b/src/gateway/driver.h
@@ -26,7 +26,8 @@
     std::function<void(const Alarm&)> due;    // an alarm of the owner's
     std::function<void(Millis)> stood_still;  // a standstill of so long was found: look again first
     std::function<void()> on_wake;            // an alarm was set that is earlier than what tick() returned
-    std::function<void(Millis, const Event&)> seen;  // each event, as it is handled; may be empty
+    std::function<void(const Action&)> done;  // each action, before it is carried out; may be empty
+    std::function<void(Millis, const Event&)> seen;  // each event, before it is handled; may be empty
 
     Driver(const Settings& settings, std::uint64_t seed, Mine Owner::*alarms, Mine Owner::*timeouts)
         : router_(settings, seed), alarms_(alarms), timeouts_(timeouts) {}
@@ -102,6 +103,7 @@
             if (seen) seen(at, e);
             router_.handle(at, e, actions);
             for (const auto& a : actions) {
+                if (done) done(a);
                 if (const auto* timer = std::get_if<SetTimer>(&a)) {
                     alarm(Kind::router, timer->at, nullptr, 0, timer->label, false);
                 } else {
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -10,6 +10,10 @@
 #include "gateway/exchange.h"
 #include "http/parser.h"
 #include "http/sse.h"
+#include "platform/attempt.h"
+#include "platform/config.h"
+#include "platform/discovery.h"
+#include "platform/request.h"
 #include "settings/settings.h"
 #include "state/journal.h"
 
@@ -164,12 +168,109 @@
     }
 }
 
+void config(std::string_view bytes) {
+    try {
+        const auto c = platform::parse_config(std::string(bytes), "127.0.0.1:1", "127.0.0.1:2");
+        need(!c.listen.empty() && !c.discovery.empty(), "what is taken has its addresses");
+        const Router router(c.named.settings, 1);
+    } catch (const platform::ConfigError& e) {
+        need(*e.what() != 0, "a refusal says why");
+    } catch (const std::invalid_argument&) {  // of the Router, which names the setting
+    }
+}
+
+drill::Named named() {
+    drill::Named n;
+    n.settings.classes.resize(1);
+    n.classes["chat"] = 0, n.tenants["acme"] = 0, n.zones["a"] = 0, n.kinds["prefill"] = 0,
+    n.kinds["decode"] = 1;
+    return n;
+}
+
+void discovery(std::string_view bytes) {
+    const auto names = named();
+    platform::Hosts hosts(names, 0);
+    std::string why;
+    need(
+        hosts
+            .take(
+                R"({"seq":1,"whole":true,"hosts":[{"host":"x","dial":"127.0.0.1:1","site":"a","class":"decode",
+        "health":"up"}]})",
+                false, why)
+            .has_value(),
+        "a good list is taken");
+    const auto e = hosts.take(std::string(bytes), false, why);
+    need(e.has_value() == why.empty(), "a list or the reason why not");
+    if (!e) need(hosts.all().size() == 1 && hosts.version() == 1, "a bad one changes nothing");
+    for (const auto& [id, h] : hosts.all())
+        need(h.entry.server == id && !h.dial.empty(), "entries are whole");
+}
+
+void request(std::string_view bytes) {
+    const auto names = named();
+    http::Parser p(http::Parser::Kind::request, {4096, 32, 4096});
+    bool read = false;
+    p.on_headers = [&] { read = true; };
+    p.feed(bytes);
+    if (!read) return;
+    const auto r = platform::read_head(names, p);
+    if (const auto* refusal = std::get_if<platform::Refusal>(&r)) {
+        need(refusal->status >= 400 && refusal->status < 500 && !refusal->why.empty(), "a refusal says why");
+        return;
+    }
+    const auto& in = std::get<platform::Inbound>(r);
+    need(!in.txn.empty() && in.arrival.deadline > 0, "what is taken has an id and a deadline");
+    http::Parser again(http::Parser::Kind::request, {16384, 64, 4096});
+    bool whole = false;
+    again.on_complete = [&] { whole = true; };
+    again.feed(in.head + "content-length: 0\r\n\r\n");
+    need(whole && again.target == p.target, "what goes to the server is one request, well-formed");
+    const auto* id = http::find(again.headers, "x-txn");
+    need(id && *id == in.txn, "under the client's id");
+}
+
+std::string attempt_trace(std::string_view bytes, std::size_t size, platform::Attempt::Kind kind) {
+    platform::Attempt a(kind);
+    std::string text;
+    int firsts = 0, overs = 0, result = -1;
+    a.on_first = [&](std::string_view b) {
+        need(overs == 0 && ++firsts == 1, "one first event, before the end");
+        text += b;
+    };
+    a.on_more = [&](std::string_view b) {
+        need(firsts == 1 && overs == 0, "events between the first and the end");
+        text += b;
+    };
+    a.on_over = [&](const platform::Ending& e) {
+        need(++overs == 1 && e.begun == (firsts == 1), "one end, which knows whether it had begun");
+        result = static_cast<int>(e.result);
+    };
+    a.sent(), a.handed();
+    in_pieces(bytes, size, [&](std::string_view piece) {
+        a.data(piece);
+        return true;
+    });
+    a.ended();
+    need(overs == 1 && a.over() && !a.reusable(), "an end whatever came, and the connection carries nothing");
+    a.give_up(Result::late, ""), a.data("x"), a.not_sent();
+    return text + "|" + std::to_string(result);
+}
+
+void attempt(std::string_view bytes) {
+    using Kind = platform::Attempt::Kind;
+    for (const auto kind : {Kind::read, Kind::write, Kind::call}) {
+        const std::string whole = attempt_trace(bytes, bytes.size() + 1, kind);
+        need(attempt_trace(bytes, 1, kind) == whole, "the same end however the bytes are cut");
+    }
+}
+
 }  // namespace
 
 const std::vector<Target>& targets() {
-    static const std::vector<Target> all = {{"http", http},         {"sse", sse},
-                                            {"messages", messages}, {"exchange", exchange},
-                                            {"settings", settings}, {"journal", journal}};
+    static const std::vector<Target> all = {
+        {"http", http},         {"sse", sse},         {"messages", messages}, {"exchange", exchange},
+        {"settings", settings}, {"journal", journal}, {"config", config},     {"discovery", discovery},
+        {"request", request},   {"attempt", attempt}};
     return all;
 }
 
--- /dev/null
+++ b/tests/life/node.test.mjs
@@ -0,0 +1,276 @@
+// One gateway as the platform starts it (`gorsenotch node`, the GW_ variables), against small stand-ins of
+// discovery and model servers on loopback: serve, refuse, break, drain, bad clients, SIGHUP, SIGTERM.
+import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import net from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { after, before, test } from 'node:test';
+
+const program = process.env.GORSENOTCH;
+const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
+const listen = (server) => new Promise((done) => server.listen(0, '127.0.0.1', () => done(server.address().port)));
+const freePort = async () => { const s = net.createServer(); const p = await listen(s); await new Promise((d) => s.close(d)); return p; };
+async function until(what, holds, ms = 8000) {
+  const end = Date.now() + ms;
+  while (!holds()) { assert.ok(Date.now() < end, `not in time: ${what}`); await sleep(5); }
+}
+
+// A model server: `role` read or write; `behave(req, res)` may take a request over by returning true.
+class Engine {
+  seen = []; behave = () => false; open = new Set();
+  async start(name, role) {
+    this.name = name; this.role = role;
+    this.server = http.createServer((req, res) => {
+      let body = '';
+      req.on('data', (d) => { body += d; });
+      req.on('end', () => {
+        const r = { method: req.method, url: req.url, headers: req.headers, body, closed: false };
+        this.seen.push(r);
+        res.on('close', () => { r.closed = true; });
+        if (this.behave(r, res)) return;
+        if (req.method === 'DELETE') { res.writeHead(204); res.end(); return; }
+        if (role === 'read') { res.writeHead(202); res.end('{"cached_tokens":7}'); return; }
+        res.writeHead(200, { 'content-type': 'text/event-stream' });
+        res.write('data: {"a":"\u00e9"}\n\n');
+        setTimeout(() => res.end('data: [DONE]\n\n'), 20);
+      });
+    });
+    this.server.on('connection', (s) => { this.open.add(s); s.on('close', () => this.open.delete(s)); });
+    this.port = await listen(this.server);
+    return this;
+  }
+  host(health = 'up') {
+    return { host: this.name, dial: `127.0.0.1:${this.port}`, site: 'a', class: this.role === 'read' ? 'prefill' : 'decode',
+      block: 0, health, share: 1.0, born_ms: 0 };
+  }
+  stop() { for (const s of this.open) s.destroy(); this.server.close(); }
+}
+
+class Discovery {
+  seq = 1; hosts = []; waiting = []; calls = 0; open = new Set();
+  async start(hosts, seq = 1) {
+    this.hosts = hosts; this.seq = seq;
+    this.server = http.createServer((req, res) => {
+      ++this.calls;
+      const from = new URL(req.url, 'http://x').searchParams.get('from');
+      if (from !== null && Number(from) >= this.seq) { this.waiting.push(res); return; }
+      this.tell(res);
+    });
+    this.server.on('connection', (s) => { this.open.add(s); s.on('close', () => this.open.delete(s)); });
+    this.port = await listen(this.server);
+    return this;
+  }
+  tell(res) { res.end(JSON.stringify({ seq: this.seq, whole: true, hosts: this.hosts })); }
+  change(hosts) { this.hosts = hosts; ++this.seq; for (const res of this.waiting.splice(0)) this.tell(res); }
+  stop() { for (const s of this.open) s.destroy(); this.server.close(); }
+}
+
+class Gateway {
+  err = '';
+  async start(discovery, known = []) {
+    this.dir = mkdtempSync(path.join(tmpdir(), 'gorsenotch-node-'));
+    this.file = path.join(this.dir, 'config.json');
+    this.port = await freePort();
+    this.known = known;
+    this.write(discovery);
+    this.child = spawn(program, ['node'], { stdio: ['ignore', 'ignore', 'pipe'], env: { ...process.env, GW_NAME: 'n0',
+      GW_LISTEN: `127.0.0.1:${this.port}`, GW_DISCOVERY: `127.0.0.1:${discovery}`, GW_CONFIG: this.file } });
+    this.child.stderr.on('data', (d) => { this.err += d; });
+    this.ended = new Promise((done) => this.child.on('close', (code, signal) => done({ code, signal })));
+    await until('ready', () => /"ready"/.test(this.err));
+    return this;
+  }
+  write(discovery, text) {
+    writeFileSync(`${this.file}.new`, text ?? JSON.stringify({ name: 'n0', listen: `127.0.0.1:${this.port}`,
+      discovery: `127.0.0.1:${discovery}`, seed: '0123456789abcdef', limits: { cores: 1, memory_mb: 64, sockets: 256 },
+      known: { seq: 0, whole: true, hosts: this.known },
+      settings: { Azs: ['a'], Zone: 'a', Balancers: 1, Flavors: ['prefill', 'decode'],
+        FamilyInfo: { RoleByKind: ['read', 'write'], KindMemoryTokens: [200000, 150000], LetGoByMs: 1000, Resume: true,
+          TokenAimMs: [60], AimUsPer1000PromptTokens: [40000] },
+        Ceilings: { AttemptsCap: 6, Cancel: true, DialTimeoutMs: 250, IdleCloseMs: 15000, RetryAfter: false },
+        Guarantees: { DrainGraceMs: 250 },
+        Lanes: [{ Name: 'chat', SloMs: 1500, DeadlineMs: 3000, Importance: 1, Effect: 'repeatable', Streaming: true }],
+        Tenants: [{ Name: 'acme', QuotaPerS: 1000 }], StepMs: 4 } }));
+    renameSync(`${this.file}.new`, this.file);
+  }
+  // Resolves with status, text and whether the answer was whole.
+  ask(txn, { headers = {}, agent } = {}) {
+    return new Promise((done) => {
+      const req = http.request({ host: '127.0.0.1', port: this.port, path: '/v1/chat/completions?x=1', method: 'POST', agent,
+        headers: { 'x-txn': txn, 'x-lane': 'chat', 'x-org': 'acme', 'x-entity': 'e1', 'x-remaining': '2500m',
+          'x-labels': 'prompt_len=100,max_out=50', ...headers } }, (res) => {
+        let text = '';
+        res.setEncoding('utf8');
+        res.on('data', (d) => { text += d; });
+        res.on('close', () => done({ status: res.statusCode, text, whole: res.complete, headers: res.headers }));
+        res.on('error', () => {});
+      });
+      req.on('error', (e) => done({ status: 0, error: e.code }));
+      req.end('{"model":"chat","stream":true}');
+    });
+  }
+  // Sends bytes as they are; what came back until the end.
+  raw(bytes, ms = 4000) {
+    return new Promise((done) => {
+      let text = '';
+      const s = net.connect(this.port, '127.0.0.1', () => { if (bytes) s.write(bytes); });
+      const timer = setTimeout(() => { s.destroy(); done('still open'); }, ms);
+      s.on('data', (d) => { text += d; });
+      s.on('error', () => {});
+      s.on('close', () => { clearTimeout(timer); done(text); });
+    });
+  }
+  async end(signal = 'SIGTERM') {
+    this.child.kill(signal);
+    const e = await this.ended;
+    assert.doesNotMatch(this.err, /Sanitizer|runtime error|destroyed before/, this.err);
+    rmSync(this.dir, { recursive: true });
+    return e;
+  }
+}
+
+let reader, writer, discovery, gateway;
+before(async () => {
+  reader = await new Engine().start('r1', 'read');
+  writer = await new Engine().start('w1', 'write');
+  discovery = await new Discovery().start([reader.host(), writer.host()]);
+  gateway = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  await until('the list', () => discovery.waiting.length === 1);
+});
+after(async () => {
+  assert.deepEqual(await gateway.end(), { code: 0, signal: null });
+  for (const s of [reader, writer, discovery]) s.stop();
+});
+
+test('a request passes unchanged to reader and writer, and its events come back', async () => {
+  const r = await gateway.ask('id-1');
+  assert.equal(r.status, 200);
+  assert.equal(r.text, 'data: {"a":"\u00e9"}\n\ndata: [DONE]\n\n');
+  assert.ok(r.whole);
+  for (const e of [reader, writer]) {
+    const seen = e.seen.find((s) => s.headers['x-txn'] === 'id-1');
+    assert.equal(seen.method, 'POST');
+    assert.equal(seen.url, '/v1/chat/completions?x=1');
+    assert.equal(seen.body, '{"model":"chat","stream":true}');
+    assert.match(seen.headers['x-remaining'], /^[1-9][0-9]*m$/);
+  }
+});
+
+test('a stream that breaks ends without the last chunk; one that ends whole keeps the connection', async () => {
+  writer.behave = (r, res) => {
+    if (r.headers['x-txn'] !== 'id-2') return false;
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    res.write('data: 1\n\n');
+    setTimeout(() => res.destroy(), 30);
+    return true;
+  };
+  const r = await gateway.ask('id-2');
+  assert.equal(r.status, 200);
+  assert.equal(r.text, 'data: 1\n\n');
+  assert.ok(!r.whole);
+  const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+  for (const id of ['id-3', 'id-4']) assert.ok((await gateway.ask(id, { agent })).whole);
+  agent.destroy();
+});
+
+test('a client that leaves has its state let go of', async () => {
+  writer.behave = (r) => r.headers['x-txn'] === 'id-5';  // never answers
+  const req = http.request({ host: '127.0.0.1', port: gateway.port, path: '/v1/chat/completions', method: 'POST',
+    headers: { 'x-txn': 'id-5', 'x-lane': 'chat', 'x-org': 'acme', 'x-remaining': '2500m' } });
+  req.on('error', () => {});
+  req.end('{}');
+  await until('the write', () => writer.seen.some((s) => s.headers['x-txn'] === 'id-5'));
+  req.destroy();
+  await until('the let-go', () => [...reader.seen, ...writer.seen].some((s) => s.method === 'DELETE' &&
+    s.url === '/bootstrap/rooms/id-5'));
+  await until('the close', () => writer.seen.find((s) => s.headers['x-txn'] === 'id-5').closed);
+});
+
+test('bad clients get an error or a close in time, and nothing of it reaches a server', async () => {
+  const before = reader.seen.length;
+  const head = 'POST /v1/chat/completions HTTP/1.1\r\nx-txn: bad\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: 900m\r\n';
+  const cases = [['noise\r\n\r\n', 400], [`${head}content-length: 2\r\ntransfer-encoding: chunked\r\n\r\n`, 400],
+    [`${head}content-length: -5\r\n\r\n`, 400], [`${head}content-length: 2\r\ncontent-length: 3\r\n\r\n`, 400],
+    [`${head}content-length: 60000000\r\n\r\n`, 413], [`${head}transfer-encoding: chunked\r\n\r\n${'20000\r\n'}${'x'.repeat(0x20000)}\r\n`.repeat(1) +
+      `${'30000\r\n'}${'x'.repeat(0x30000)}\r\n`, 413], [`${head}x: ${'x'.repeat(30000)}`, 431],
+    [`${head.replace('x-lane: chat', 'x-lane: none')}content-length: 0\r\n\r\n`, 400],
+    [`${head.replace('900m', 'soon')}content-length: 0\r\n\r\n`, 400], [`${head.replace('x-txn: bad\r\n', '')}content-length: 0\r\n\r\n`, 400],
+    ['GET /nothing HTTP/1.1\r\n\r\n', 404]];
+  for (const [bytes, status] of cases) {
+    const text = await gateway.raw(bytes);
+    assert.match(text, new RegExp(`^HTTP/1.1 ${status} `), `${bytes.slice(0, 160)}: ${text}`);
+  }
+  const began = Date.now();
+  const [silent, half] = await Promise.all([gateway.raw(''), gateway.raw(`${head}content-length: 10\r\n\r\nhalf`)]);
+  assert.equal(silent, '');
+  assert.match(half, /^HTTP\/1.1 408 /);
+  assert.ok(Date.now() - began < 3000);
+  assert.equal(reader.seen.length, before);
+});
+
+test('a drain is kept, no server at all is a refusal at once, and the next list is taken', async () => {
+  writer.behave = () => false;
+  discovery.change([reader.host(), writer.host('draining')]);
+  await until('the next watch', () => discovery.waiting.length === 1);
+  const before = writer.seen.length, began = Date.now();
+  assert.equal((await gateway.ask('id-6')).status, 503);
+  assert.ok(Date.now() - began < 1000);
+  assert.equal(writer.seen.filter((s) => s.method === 'POST').length, [...writer.seen].slice(0, before).filter((s) => s.method === 'POST').length);
+  discovery.change([reader.host(), writer.host()]);
+  await until('the next watch', () => discovery.waiting.length === 1);
+  assert.ok((await gateway.ask('id-7')).whole);
+});
+
+test('SIGHUP moves discovery; a file that cannot be read changes nothing', async () => {
+  gateway.write(0, '{"half');
+  gateway.child.kill('SIGHUP');
+  await until('the refusal', () => /reload_refused/.test(gateway.err));
+  const other = await new Discovery().start([reader.host(), writer.host()], 50);
+  gateway.write(other.port);
+  gateway.child.kill('SIGHUP');
+  await until('the other', () => other.waiting.length === 1);
+  discovery.stop();
+  discovery = other;
+  assert.ok((await gateway.ask('id-8')).whole);
+});
+
+test('a gateway that is told to stop serves on for a while, hands streams back and exits with 0', async () => {
+  const own = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  writer.behave = (r, res) => {
+    if (r.headers['x-txn'] !== 'id-9') return false;
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    const beat = setInterval(() => res.write('data: 1\n\n'), 50);
+    res.on('close', () => clearInterval(beat));
+    return true;
+  };
+  const long = own.ask('id-9');
+  await until('the stream', () => writer.seen.some((s) => s.headers['x-txn'] === 'id-9'));
+  const began = Date.now(), ending = own.end();
+  await sleep(200);
+  assert.ok((await own.ask('id-10')).whole);
+  assert.ok(!(await long).whole);
+  assert.deepEqual(await ending, { code: 0, signal: null });
+  assert.ok(Date.now() - began < 3700);
+});
+
+test('a wrong configuration is refused before anything listens', async () => {
+  const run = (env) => new Promise((done) => {
+    const c = spawn(program, ['node'], { stdio: ['ignore', 'ignore', 'pipe'], env });
+    let err = '';
+    c.stderr.on('data', (d) => { err += d; });
+    c.on('close', (code) => done({ code, err }));
+  });
+  const env = { ...process.env };
+  delete env.GW_CONFIG;
+  assert.deepEqual(await run(env), { code: 3, err: 'GW_CONFIG: not set\n' });
+  const dir = mkdtempSync(path.join(tmpdir(), 'gorsenotch-node-'));
+  const file = path.join(dir, 'config.json');
+  writeFileSync(file, '{"listen":"127.0.0.1:0","discovery":"nowhere"}');
+  const r = await run({ ...env, GW_CONFIG: file });
+  assert.equal(r.code, 3);
+  assert.match(r.err, /discovery: 'nowhere'/);
+  rmSync(dir, { recursive: true });
+});
