--- a/src/decide/departure.cpp
+++ b/src/decide/departure.cpp
@@ -6,7 +6,7 @@
 namespace gorsenotch::decide {
 
 namespace {
-constexpr double kOpen = 0.7;   // and in which new requests are taken
+constexpr double kOpen = 0.88;  // and in which new requests are taken
 constexpr double kLeft = 0.5;   // part of the time in which streams are left to end by themselves
 constexpr Millis kSpare = 300;  // before the kill: the last answers have left, the last states are let go of
 }  // namespace
--- a/tests/program/departure_test.cpp
+++ b/tests/program/departure_test.cpp
@@ -29,8 +29,9 @@
 TEST(Departure, NewRequestsAreTakenForLongAndAnsweredInTheEnd) {
     const decide::Departure d(0, 3700);
     EXPECT_FALSE(d.depart(2000));
-    EXPECT_TRUE(d.depart(2800));
-    EXPECT_FALSE(d.refuse_rest(3000));
+    EXPECT_FALSE(d.depart(3100));
+    EXPECT_TRUE(d.depart(3300));
+    EXPECT_FALSE(d.refuse_rest(3300));
     EXPECT_TRUE(d.refuse_rest(3500));
 }
 
