Module: a server that is long gone is forgotten

Change: a record of a server that is gone and has nothing out goes 60 s after the last list that had it.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -35,6 +35,7 @@
 constexpr double kPullMost = 1.2;  // what a cell's writers add to its readers' pull at most, or take from it
 constexpr double kCalm = 0.3;      // part of the aim that is quick anyway
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
+constexpr double kForget = 60000;  // ms after which a server that is gone is forgotten
 constexpr int kFewGateways = 4;    // up to so many, own queues show enough of the load
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
@@ -88,6 +89,7 @@
 struct Server {
     ServerEntry entry;
     Role role = Role::both;
+    Millis listed = 0;          // by the latest list that had it
     Millis cold_since = -1e18;  // when it last started, as listed or as concluded from a return
     // own load
     std::array<int, 3> out{};  // attempts out by stage
@@ -281,7 +283,7 @@
                 s.others = 0, s.heard = -1e18, s.memory_share = -1;
                 if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
             }
-            s.entry = entry;
+            s.entry = entry, s.listed = now_;
             s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
         }
         survey(0);
@@ -725,6 +727,12 @@
     void check() {
         set_tick();
         if (s_.discovery == Discovery::ask && now_ - asked_ > s_.ask_within / 2) ask();
+        // Guards against memory that grows with every server that was ever listed. May do harm by judging one
+        // afresh that comes back after so long without a start of its own.
+        std::erase_if(servers_, [this](const auto& entry) {
+            const Server& s = entry.second;
+            return s.entry.mode == Mode::gone && now_ - s.listed > kForget && s.total() == 0;
+        });
         const Millis dt = now_ - checked_;
         checked_ = now_;
         std::map<ServerId, std::array<bool, 3>> harmed;  // by work that has waited long, measured by its aim
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -232,6 +232,32 @@
     EXPECT_EQ(back, 1);
 }
 
+// Needed on long days: servers are replaced all the time, under ids that never come again.
+TEST_F(Guards, AServerThatIsLongGoneIsForgotten) {
+    for (const Millis away : {5000.0, 70000.0}) {
+        start(plain_settings(), {reader(1), reader(2), writer(11)});
+        for (Millis now = 10; now < 20;) {
+            const RequestId id = "a" + std::to_string(now);
+            const ServerId to = read_at(id, now += 1);
+            bench->feed(now, outcome(id, 0, to, to == 1 ? Result::unreachable : Result::read_done));
+            const auto a = bench->all<Attempt>();
+            bench->feed(now, ClientGone{id});
+            if (!a.empty()) bench->feed(now, outcome(id, 1, a[0].server, Result::not_sent, true));
+        }
+        bench->feed(30, list({reader(2), writer(11)}));
+        bench->run_to(30 + away);
+        bench->feed(30 + away, list({reader(1), reader(2), writer(11)}));
+        int back = 0;
+        for (int i = 0; i < 8; ++i) back += read_at("t" + std::to_string(i), 40 + away) == 1;
+        if (away > 60000) {
+            EXPECT_GT(back, 1) << "judged afresh";
+        } else {
+            EXPECT_EQ(back, 1) << "one request at a time, as a suspect";
+        }
+        EXPECT_EQ(bench->checker.breaches, std::vector<std::string>{});
+    }
+}
+
 TEST_F(Guards, AColdServerGetsLessThanItsPeers) {
     std::vector<ServerEntry> servers = {reader(1), reader(2), writer(11)};
     start(plain_settings(), servers);
