Module: a stream that breaks off tells nothing of its server, another reset half

Change: settle(): a reset of a running stream is no failure of the server; any other reset counts half of an error. A dead server is known by connections that do not come up, a silent one by the sequential test.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 // Constants held for all deployments; everything else derives from settings, aims or what is observed.
+constexpr double kResetWeight =
+    0.5;                           // of a broken connection in that share, as it may be the connection's own
 constexpr double kSlowFactor = 3;  // a server this many times slower than its peers is worth leaving
 // Log-likelihood at which it is flagged. The test never ends, so chance reaches it once in some exp(8) =
 // 3,000 stages; at 4, in 55 to some hundred, and a flag takes all the streams off a server.
@@ -665,11 +667,15 @@
                 haunt(s, r);
                 if (r.stopped) return;
                 [[fallthrough]];
+            case Result::reset:
+                // Guards against servers shunned for streams that break off or are spoilt on the way, which
+                // any may have. Where the server died, the next connection does not come up.
+                if (r.stage == streaming) return;
+                [[fallthrough]];
             case Result::error:
-            case Result::reset:  // a connection that broke says no more: where the server died none comes up
                 s.failed[cls(r)] = now_;
                 if (early) return;
-                s.errors += kErrorStep * (1 - s.errors);
+                s.errors += kErrorStep * (o.result == Result::reset ? kResetWeight : 1) * (1 - s.errors);
                 // With few visits no second failure comes in time to confirm the first.
                 if (s.suspect || ((s.errors > kErrorFlag || sparse()) && minority(s))) doubt(s);
                 return;
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -183,6 +183,26 @@
     EXPECT_FALSE(next_at(1, Result::read_done));
 }
 
+// Found on sockets: streams spoilt on the way, from any server alike, took one writer after another out.
+TEST_F(Guards, BrokenStreamsShunNoWriter) {
+    start(plain_settings(), {reader(1), writer(11), writer(12), writer(13)});
+    int broken = 0, after = 0;
+    for (int i = 0; i < 60; ++i) {
+        const RequestId id = "s" + std::to_string(i);
+        const Millis now = 10 + 20 * i;
+        if (!read_at(id, now)) continue;
+        bench->feed(now + 1, outcome(id, 0, 1, Result::read_done));
+        const auto a = bench->all<Attempt>();
+        ASSERT_FALSE(a.empty());
+        const bool bad = a[0].server == 11;
+        after += bad && broken >= 3;
+        broken += bad;
+        bench->feed(now + 2, FirstToken{id, 1, a[0].server, 1});
+        bench->feed(now + 9, outcome(id, 1, a[0].server, bad ? Result::reset : Result::served, true));
+    }
+    EXPECT_GT(after, 5);
+}
+
 // Found on sockets: streams of very different length made one equal writer after another look slow.
 TEST_F(Guards, ChanceMovesFewStreams) {
     start(plain_settings(), {reader(1), writer(11), writer(12), writer(13), writer(14)});
