--- a/src/decide/lateness.h
+++ b/src/decide/lateness.h
@@ -47,6 +47,7 @@
 struct AttemptTime {
     Millis sent = 0, limit = 0, end = 0;  // `end`: the request's own deadline, which nothing moves
     Millis stood_sent = 0, stood_handed = 0;
+    bool handed = false;  // stood_handed is final
     // Own standstills between the two do not count against the engine.
     Millis due() const;
     // Whether the engine had all the time it was given; if not, its end is this process's doing.
--- a/src/drill/settings.cpp
+++ b/src/drill/settings.cpp
@@ -1,27 +1,24 @@
 #include "drill/settings.h"
 
-#include <charconv>
 #include <cmath>
 
+#include "drill/words.h"
+
 namespace gorsenotch::drill {
 namespace {
 
 double number(const std::string& path, const std::string& s) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), value);
-    if (error != std::errc() || end != s.data() + s.size() || !std::isfinite(value))
-        throw SettingsError(path + ": bad number '" + s + "'");
-    return value;
+    const auto value = to_number<double>(s);
+    if (!value) throw SettingsError(path + ": bad number '" + s + "'");
+    return *value;
 }
 
 template <class T>
-T choice(const Info& info, const std::string& path, const std::string& absent,
+T choice(const std::string& path, const std::string& word,
          std::initializer_list<std::pair<const char*, T>> names) {
-    const std::string word = info.text(path, absent);
-    for (const auto& [name, value] : names) {
-        if (word == name) return value;
-    }
-    throw SettingsError(path + ": unknown word '" + word + "'");
+    const auto value = to_one_of(word, names);
+    if (!value) throw SettingsError(path + ": unknown word '" + word + "'");
+    return *value;
 }
 
 double item(const Info& info, const std::string& path, std::size_t i, double absent) {
@@ -51,9 +48,9 @@
 
 bool Info::yes(const std::string& path) const {
     const std::string s = text(path, "-");
-    if (s == "1" || s == "true") return true;
-    if (s == "0" || s == "false" || s == "-") return false;
-    throw SettingsError(path + ": bad bool '" + s + "'");
+    const auto value = to_bool(s);
+    if (!value) throw SettingsError(path + ": bad bool '" + s + "'");
+    return *value;
 }
 
 std::string Info::text(const std::string& path, const std::string& absent) const {
@@ -80,9 +77,9 @@
         c.late_share = info.num(p + "LateShare", 0);
         c.token_aim = item(info, "FamilyInfo.TokenAimMs", i, 0);
         c.effect = choice<Effect>(
-            info, p + "Effect", "once",
+            p + "Effect", info.text(p + "Effect", "once"),
             {{"repeatable", Effect::repeatable}, {"by_key", Effect::by_key}, {"once", Effect::once}});
-        c.group = choice<Group>(info, p + "Group", "all",
+        c.group = choice<Group>(p + "Group", info.text(p + "Group", "all"),
                                 {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
         c.window = info.num(p + "WindowMs", 0);
         s.classes.push_back(c);
@@ -97,14 +94,9 @@
                &zones = info.list("Azs");
     if (flavors.size() == roles.size()) {  // else no kind is known, which the module refuses
         for (std::size_t i = 0; i < flavors.size(); ++i) {
-            Role role = Role::both;
-            if (roles[i] == "read") {
-                role = Role::read;
-            } else if (roles[i] == "write") {
-                role = Role::write;
-            } else if (roles[i] != "both") {
-                throw SettingsError("FamilyInfo.RoleByKind: unknown word '" + roles[i] + "'");
-            }
+            const Role role =
+                choice<Role>("FamilyInfo.RoleByKind", roles[i],
+                             {{"read", Role::read}, {"write", Role::write}, {"both", Role::both}});
             s.kinds.push_back({role, item(info, "FamilyInfo.KindMemoryTokens", i, 0)});
             named.kinds[flavors[i]] = static_cast<int>(i);
         }
--- a/src/drill/wire.cpp
+++ b/src/drill/wire.cpp
@@ -1,11 +1,12 @@
 #include "drill/wire.h"
 
-#include <charconv>
-#include <cmath>
 #include <iomanip>
 #include <limits>
 #include <sstream>
 
+#include "decide/overloaded.h"
+#include "drill/words.h"
+
 namespace gorsenotch::drill {
 namespace {
 
@@ -27,30 +28,24 @@
 template <class T>
 T whole(const std::string& s, T absent = 0) {
     if (s == "-") return absent;
-    T value{};
-    auto [end, error] = std::from_chars(s.data(), s.data() + s.size(), value);
-    if (error != std::errc() || end != s.data() + s.size()) throw WireError("bad number '" + s + "'");
-    return value;
+    const auto value = to_number<T>(s);
+    if (!value) throw WireError("bad number '" + s + "'");
+    return *value;
 }
 
-double number(const std::string& s, double absent = 0) {
-    const double value = whole<double>(s, absent);
-    if (!std::isfinite(value)) throw WireError("bad number '" + s + "'");
-    return value;
-}
+double number(const std::string& s, double absent = 0) { return whole<double>(s, absent); }
 
 bool flag(const std::string& s) {
-    if (s == "1" || s == "true") return true;
-    if (s == "0" || s == "false" || s == "-") return false;
-    throw WireError("bad bool '" + s + "'");
+    const auto value = to_bool(s);
+    if (!value) throw WireError("bad bool '" + s + "'");
+    return *value;
 }
 
 template <class T>
 T choice(const std::string& s, std::initializer_list<std::pair<const char*, T>> names) {
-    for (const auto& [name, value] : names) {
-        if (s == name) return value;
-    }
-    throw WireError("unknown word '" + s + "'");
+    const auto value = to_one_of(s, names);
+    if (!value) throw WireError("unknown word '" + s + "'");
+    return *value;
 }
 
 Result result(const std::string& s) {
@@ -92,11 +87,6 @@
     return info;
 }
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-
 }  // namespace
 
 bool Host::next(Fields& f) {
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -3,16 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
+#include "decide/overloaded.h"
+
 namespace gorsenotch::gateway {
 namespace {
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-template <class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 const char* word(Result r) {
     switch (r) {
         case Result::served:
@@ -193,7 +188,7 @@
     t.server = a.server;
     t.id = a.request + "." + std::to_string(n);
     t.sent = t.heard = now;
-    t.time = {now, a.limit, r->deadline, driver_.lateness().stood(), driver_.lateness().stood()};
+    t.time = driver_.begin(a.limit, r->deadline);
     const auto it = servers_.find(a.server);
     // Guards against a send to a server that the latest list no longer holds; nothing was sent then.
     if (it == servers_.end() || it->second.entry.mode == Mode::gone || r->closed) {
@@ -215,11 +210,7 @@
     t.exchange = std::make_shared<Exchange>(*dialect_, t.read, p_.limits.event_bytes, std::size_t{262144});
     const std::string id = a.request;
     t.exchange->on_sent = [this, id, n] {
-        // A connection that opened while this process stood still: found now, seen to with the next event, as
-        // the one who calls can't have its connection taken from under it.
-        driver_.lateness().works(ports_.now());
-        Try* sent = find_try(find(id), n);
-        if (sent && !sent->handed) sent->handed = true, sent->time.stood_handed = driver_.lateness().stood();
+        if (Try* sent = find_try(find(id), n)) driver_.handed(sent->time);
     };
     t.exchange->on_first = [this, id, n] { first(id, n); };
     t.exchange->on_text = [this, id, n](std::string_view piece) { text(id, n, piece); };
@@ -428,8 +419,7 @@
     if (a.kind == Kind::limit) {
         Try* t = find_try(r, a.attempt);
         if (!t || !t->out || t->first) return;
-        if (!t->handed) t->time.stood_handed = driver_.lateness().stood();
-        if (t->time.due() > now) return alarm(Kind::limit, t->time.due(), r, a.attempt);
+        if (!driver_.up(t->time)) return alarm(Kind::limit, t->time.due(), r, a.attempt);
         end_exchange(*t, t->time.engines_fault() ? &Exchange::expired : &Exchange::cancelled);
     } else if (a.kind == Kind::idle) {
         // Guards against a begun stream whose engine went silent: nobody else would end it.
--- a/src/gateway/core.h
+++ b/src/gateway/core.h
@@ -96,7 +96,7 @@
         std::shared_ptr<Exchange> exchange;
         ServerId server = 0;
         std::string id, address;
-        bool read = false, out = true, first = false, handed = false;
+        bool read = false, out = true, first = false;
         Millis sent = 0, heard = 0;
         decide::AttemptTime time;
     };
--- a/src/gateway/driver.h
+++ b/src/gateway/driver.h
@@ -89,7 +89,23 @@
         catch_up();
         lateness_.looked(at);
     }
-    decide::Lateness& lateness() { return lateness_; }
+
+    // The time of an attempt that begins now; `end`: the request's own deadline.
+    decide::AttemptTime begin(Millis limit, Millis end) {
+        return {now(), limit, end, lateness_.stood(), lateness_.stood()};
+    }
+    // Its bytes are handed over. Where its connection opened in a standstill, that is found now and seen to
+    // with the next event: the one who calls can't have its connection taken from under it.
+    void handed(decide::AttemptTime& t) {
+        lateness_.works(now());
+        if (t.handed) return;
+        t.handed = true, t.stood_handed = lateness_.stood();
+    }
+    // Whether it is up; if not, its end may have moved to a later due().
+    bool up(decide::AttemptTime& t) {
+        if (!t.handed) t.stood_handed = lateness_.stood();
+        return t.due() <= now();
+    }
 
 private:
     void pump() {
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -16,7 +16,11 @@
     : loop_(loop),
       p_(std::move(program)),
       options_(options),
-      ticker_(loop, [this] { tick(); }),
+      ticker_(loop,
+              [this] {
+                  const net::Doing doing(loop_, "timers");
+                  return core_->tick();
+              }),
       drainer_(loop, [this] { drain_step(); }) {
     std::random_device device;
     const auto random = [&] { return (std::uint64_t{device()} << 32) | device(); };
@@ -25,7 +29,7 @@
         loop,
         Upstream::Config{p_.source, p_.module.dial_timeout, p_.limits.engine_idle_ms, p_.limits.engine_idle});
     core_ = std::make_unique<Core>(p_, seed, *this, front::messages::error_body);
-    core_->on_wake = [this] { wake(); };
+    core_->on_wake = [this] { ticker_.wake(); };
     loop_.on_slow_turn = [this](Millis length, const net::Loop::Parts& parts) { slow_turn(length, parts); };
     loop_.on_sleep = [this](Millis due) { core_->sleeps(due); };
     loop_.on_look = [this] { core_->looked(loop_.looked()); };
@@ -89,7 +93,7 @@
     }
     if (!p_.fleet_file.empty())
         watch_ = std::make_unique<net::FileWatch>(loop_, p_.fleet_file, 20, [this] { read_fleet(); });
-    wake();
+    ticker_.wake();
     return server_->listen();
 }
 
@@ -139,21 +143,6 @@
     slow_turns_ = 0;
 }
 
-void Gateway::wake() {
-    if (waking_) return;
-    waking_ = true;
-    ticker_.after(0);
-}
-
-void Gateway::tick() {
-    const net::Doing doing(loop_, "timers");
-    // A timer set while others fire asks for a wake of its own; the one armed below covers it.
-    waking_ = true;
-    const Millis next = core_->tick();
-    waking_ = false;
-    ticker_.after(std::max(0.0, next - net::now()));
-}
-
 void Gateway::drain(std::function<void()> done) {
     drained_ = std::move(done);
     drain_until_ = net::now() + p_.limits.drain_ms;
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gateway/server.h"
+#include "gateway/ticker.h"
 #include "gateway/upstream.h"
 #include "state/saved.h"
 
@@ -40,8 +41,6 @@
     void log(const char* level, const char* event, front::Json fields) override;
     void stood_still(Millis for_ms) override;
 
-    void tick();
-    void wake();
     void read_fleet();
     void save_list(std::string text);
     void slow_turn(Millis length, const net::Loop::Parts& parts);
@@ -60,8 +59,9 @@
     std::unique_ptr<Upstream> upstream_;
     std::unique_ptr<Core> core_;
     std::unique_ptr<Server> server_;
-    net::Timer ticker_, drainer_;
-    bool waking_ = false, ended_ = false;
+    Ticker ticker_;
+    net::Timer drainer_;
+    bool ended_ = false;
     Millis drain_until_ = 0;
     std::function<void()> drained_;
     std::unique_ptr<net::FileWatch> watch_;
--- /dev/null
+++ b/src/gateway/ticker.h
@@ -0,0 +1,37 @@
+// Wakes a core when it wants to be woken: one loop timer for whatever returns the time of its next call.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+
+#include "net/loop.h"
+
+namespace gorsenotch::gateway {
+
+class Ticker {
+public:
+    // `tick` does what is due and returns when it wants to be called next.
+    Ticker(net::Loop& loop, std::function<net::Millis()> tick)
+        : tick_(std::move(tick)), timer_(loop, [this] { fire(); }) {}
+
+    void wake() {  // in the next turn
+        if (waking_) return;
+        waking_ = true;
+        timer_.after(0);
+    }
+
+private:
+    void fire() {
+        // A timer set while others fire asks for a wake of its own; the one armed below covers it.
+        waking_ = true;
+        const net::Millis next = tick_();
+        waking_ = false;
+        timer_.after(std::max(0.0, next - net::now()));
+    }
+
+    std::function<net::Millis()> tick_;
+    net::Timer timer_;
+    bool waking_ = false;
+};
+
+}  // namespace gorsenotch::gateway
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -15,25 +15,24 @@
 namespace {
 
 // Constants held for all deployments; everything else derives from settings, aims or what is observed.
-constexpr double kResetWeight =
-    0.5;                           // of a broken connection in that share, as it may be the connection's own
 constexpr double kSlowFactor = 3;  // a server this many times slower than its peers is worth leaving
 // Log-likelihood at which it is flagged. The test never ends, so chance reaches it once in some exp(8) =
 // 3,000 stages; at 4, in 55 to some hundred, and a flag takes all the streams off a server.
 constexpr double kSlowEvidence = 8;
-constexpr double kErrorFlag = 0.35;  // recent share of failed outcomes that flags a server
-constexpr double kErrorStep = 0.2;   // weight of one outcome in that share: two failures running flag
-constexpr double kNearFull = 0.9;    // reported share of memory at which a writer has no room
-constexpr double kQuantum = 500;     // tokens; the paper's quantum, for streams that are still young
-constexpr double kTrusted = 16;      // requests out at once that end a suspect's slow start
-constexpr double kColdSafety = 0.7;  // part of the allowed cold budget that is used
-constexpr double kMarginLeast = 2;   // usual prompts by which a reader may hold more than the least ...
-constexpr double kMarginMost = 8;    // ... growing to this with what the home saves
-constexpr double kQuickShare = 0.3;  // the quantile
-constexpr double kQuickStep = 0.8;   // and how fast it follows
-constexpr double kQuickTimes = 20;   // a time-out is so many times that quantile
-constexpr double kPatience = 0.4;    // and not under this part of the aim
-constexpr double kCellPrior = 3;     // reads in a cell that outweigh what is usual for all
+constexpr double kErrorFlag = 0.35;   // recent share of failed outcomes that flags a server
+constexpr double kErrorStep = 0.2;    // weight of one outcome in that share: two failures running flag
+constexpr double kResetWeight = 0.5;  // of a broken connection in it: that may be the connection's own
+constexpr double kNearFull = 0.9;     // reported share of memory at which a writer has no room
+constexpr double kQuantum = 500;      // tokens; the paper's quantum, for streams that are still young
+constexpr double kTrusted = 16;       // requests out at once that end a suspect's slow start
+constexpr double kColdSafety = 0.7;   // part of the allowed cold budget that is used
+constexpr double kMarginLeast = 2;    // usual prompts by which a reader may hold more than the least ...
+constexpr double kMarginMost = 8;     // ... growing to this with what the home saves
+constexpr double kQuickShare = 0.3;   // the quantile
+constexpr double kQuickStep = 0.8;    // and how fast it follows
+constexpr double kQuickTimes = 20;    // a time-out is so many times that quantile
+constexpr double kPatience = 0.4;     // and not under this part of the aim
+constexpr double kCellPrior = 3;      // reads in a cell that outweigh what is usual for all
 constexpr double kPullMost = 1.2;  // what a cell's writers add to its readers' pull at most, or take from it
 constexpr double kCalm = 0.3;      // part of the aim that is quick anyway
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
--- a/src/platform/attempt.cpp
+++ b/src/platform/attempt.cpp
@@ -116,7 +116,7 @@
     if (over_) return;
     over_ = true;
     Ending e;
-    e.result = result, e.status = status_, e.note = note, e.begun = begun_, e.handed = handed_, e.why = why;
+    e.result = result, e.status = status_, e.note = note, e.begun = begun_, e.why = why;
     body_ = std::string();
     const auto f = std::move(on_over);
     if (f) f(e);
--- a/src/platform/attempt.h
+++ b/src/platform/attempt.h
@@ -18,10 +18,9 @@
 
 struct Ending {
     Result result = Result::error;
-    int status = 0;       // of the answer; 0: none came
-    double note = 0;      // as Outcome::note
-    bool begun = false;   // the stream had begun
-    bool handed = false;  // all of the request had been handed to the kernel
+    int status = 0;      // of the answer; 0: none came
+    double note = 0;     // as Outcome::note
+    bool begun = false;  // the stream had begun
     const char* why = "";
 };
 
@@ -49,7 +48,6 @@
 
     // Ends it from this side: its time is up, or nobody wants it any more. Its connection is to be closed.
     void give_up(Result result, const char* why);
-    bool begun() const { return begun_; }
 
 private:
     void head();
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "log/log.h"
-
 namespace gorsenotch::platform {
 namespace {
 
@@ -29,7 +27,7 @@
     std::size_t held = 0, discarded = 0;  // bytes of a body that count; bytes thrown away
     Millis since = 0;                     // when it was opened, or last answered, or began to end
     Millis began = 0;                     // when the first byte of the request came; 0: none
-    bool fresh = true, gone = false, dirty = false, paused = false, chunked = false;
+    bool fresh = true, gone = false, dirty = false, paused = false;
     Conns::iterator self;
 
     Conn(Clients& owner, std::unique_ptr<net::Stream> s)
@@ -37,12 +35,14 @@
           stream(std::move(s)),
           parser(http::Parser::Kind::request, http::Limits{16 * 1024, 64, kMaxBody}) {}
 
+    void write_out() {
+        if (!out.empty()) stream->write(std::exchange(out, std::string()));
+    }
+
     void begin(std::string_view events) override {
-        const bool last = of.departing_;
-        chunked = true;
-        std::string s = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n";
-        s += last ? "connection: close\r\n" : "";
-        s += "transfer-encoding: chunked\r\n\r\n";
+        http::Headers headers = {{"content-type", "text/event-stream"}, {"transfer-encoding", "chunked"}};
+        if (of.departing_) headers.emplace_back("connection", "close");
+        std::string s = http::response_head(200, headers);
         http::append_chunk(s, events);
         of.send(*this, s);
     }
@@ -62,7 +62,7 @@
     }
     void cut() override {
         handle = 0;
-        of.flush();  // what came is passed on before the connection ends
+        write_out();  // what came is passed on before the connection ends
         of.erase(*this);
     }
     void final(int status, Millis pause, std::string_view why) override {
@@ -141,12 +141,7 @@
         c.held += b.size(), bytes_ += b.size();
     };
     c.stream->on_data = [this, &c](std::string_view b) { data(c, b); };
-    c.stream->on_end = [this, &c](int) {
-        const std::uint64_t handle = c.handle;
-        c.handle = 0;
-        erase(c);
-        if (handle) relay_.client_gone(handle);
-    };
+    c.stream->on_end = [this, &c](int) { lose(c); };
     c.stream->on_drain = [this, &c] {
         if (!c.paused || c.gone) return;
         c.paused = false;
@@ -164,26 +159,22 @@
     if (c.state == Conn::State::open) {
         // Nobody may send ahead so much; what little comes waits for its turn.
         if (c.ahead.size() + bytes.size() > kAhead) {
-            const std::uint64_t handle = c.handle;
-            c.handle = 0;
             ++tally_.bad;
-            erase(c);
-            if (handle) relay_.client_gone(handle);
-            return;
+            return lose(c);
         }
         c.ahead.append(bytes);
         return;
     }
+    if (c.ahead.empty()) return read(c, bytes);
     c.ahead.append(bytes);
-    read(c);
+    read(c, std::exchange(c.ahead, std::string()));
 }
 
-void Clients::read(Conn& c) {
-    while (!c.gone && c.state == Conn::State::reading && !c.ahead.empty()) {
+// What is left when a request is open waits for its answer.
+void Clients::read(Conn& c, std::string_view bytes) {
+    while (!c.gone && c.state == Conn::State::reading && !bytes.empty()) {
         if (c.began <= 0) c.began = std::max(1e-3, net::now() - c.stream->age());
-        const std::string bytes = std::move(c.ahead);
-        c.ahead.clear();
-        const std::size_t taken = c.parser.feed(bytes);
+        bytes.remove_prefix(c.parser.feed(bytes));
         if (c.gone) return;
         if (c.state == Conn::State::ending) return;
         if (c.parser.fault() != http::Fault::none) {
@@ -199,9 +190,9 @@
                                  : "the request can't be read",
                           0, true);
         }
-        if (taken < bytes.size()) c.ahead.assign(bytes, taken);
         if (c.parser.complete()) complete(c);
     }
+    if (!c.gone && c.state == Conn::State::open) c.ahead.append(bytes);
 }
 
 void Clients::headers(Conn& c) {
@@ -235,7 +226,7 @@
     const Millis age = net::now() - c.began;
     Inbound in = std::move(*c.in);
     c.in.reset();
-    bytes_ -= c.held, c.held = 0;
+    release(c);
     // The Router may end it at once: then handle is 0 again when arrive() returns.
     c.handle = ~std::uint64_t{0};
     const std::uint64_t handle = relay_.arrive(std::move(in), age, &c);
@@ -245,20 +236,15 @@
 void Clients::answer(Conn& c, int status, std::string_view why, Millis pause, bool close) {
     if (c.gone) return;
     close |= departing_ || !c.parser.keep_alive;
-    std::string s = "HTTP/1.1 " + std::to_string(status) + " ";
-    s.append(http::reason(status)).append("\r\n");
+    http::Headers headers = {{"content-type", "text/plain"},
+                             {"content-length", std::to_string(why.size() + 1)}};
     if (pause > 0) {
         char seconds[32];
         std::snprintf(seconds, sizeof seconds, "%.3f", pause / 1000);
-        s.append("retry-after: ").append(seconds).append("\r\n");
+        headers.emplace_back("retry-after", seconds);
     }
-    if (close) s.append("connection: close\r\n");
-    s.append("content-type: text/plain\r\ncontent-length: ")
-        .append(std::to_string(why.size() + 1))
-        .append("\r\n\r\n")
-        .append(why)
-        .append("\n");
-    send(c, s);
+    if (close) headers.emplace_back("connection", "close");
+    send(c, http::response_head(status, headers).append(why).append("\n"));
     if (!close) return next(c);
     end(c);
 }
@@ -270,24 +256,23 @@
     c.state = Conn::State::reading;
     c.since = net::now(), c.began = 0;
     c.fresh = false;
-    if (!c.ahead.empty()) turn_.ask(), c.dirty ? void() : (c.dirty = true, dirty_.push_back(&c));
+    if (!c.ahead.empty()) send(c, {});  // read in the turn's flush
 }
 
 void Clients::end(Conn& c) {
     if (c.gone || c.state == Conn::State::ending) return;
-    flush();
-    if (c.gone) return;
+    c.write_out();
     c.state = Conn::State::ending;
     c.since = net::now();
     c.ahead = std::string(), c.in.reset();
-    bytes_ -= c.held, c.held = 0;
+    release(c);
     c.stream->shut();
 }
 
 void Clients::erase(Conn& c) {
     if (c.gone) return;
     c.gone = true;
-    bytes_ -= c.held, c.held = 0;
+    release(c);
     if (c.dirty) std::erase(dirty_, &c);
     c.stream.reset();
     c.ahead = std::string(), c.out = std::string();
@@ -295,6 +280,17 @@
     burier_.after(0);
 }
 
+void Clients::lose(Conn& c) {
+    const std::uint64_t handle = std::exchange(c.handle, 0);
+    erase(c);
+    if (handle) relay_.client_gone(handle);
+}
+
+void Clients::release(Conn& c) {
+    bytes_ -= c.held;
+    c.held = 0;
+}
+
 void Clients::send(Conn& c, std::string_view bytes) {
     if (c.gone) return;
     c.out.append(bytes);
@@ -309,11 +305,11 @@
     for (std::size_t i = 0; i < dirty_.size(); ++i) {
         Conn& c = *dirty_[i];
         c.dirty = false;
-        if (!c.out.empty()) c.stream->write(std::exchange(c.out, std::string()));
+        c.write_out();
         if (c.state == Conn::State::reading && !c.ahead.empty()) waiting.push_back(&c);
     }
     dirty_.clear();
-    for (Conn* c : waiting) read(*c);
+    for (Conn* c : waiting) read(*c, std::exchange(c->ahead, std::string()));
 }
 
 void Clients::sweep() {
--- a/src/platform/clients.h
+++ b/src/platform/clients.h
@@ -42,13 +42,15 @@
     using Conns = std::list<std::unique_ptr<Conn>>;
     void accept(std::unique_ptr<net::Stream> stream);
     void data(Conn& c, std::string_view bytes);
-    void read(Conn& c);
+    void read(Conn& c, std::string_view bytes);
     void headers(Conn& c);
     void complete(Conn& c);
     void answer(Conn& c, int status, std::string_view why, Millis pause, bool close);
     void next(Conn& c);
     void end(Conn& c);  // a FIN after what was written, then gone
     void erase(Conn& c);
+    void lose(Conn& c);     // it went, or is given up, under a request that may be open
+    void release(Conn& c);  // the bytes of its body count no more
     void send(Conn& c, std::string_view bytes);
     void flush();
     void sweep();
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -36,6 +36,30 @@
     return it->second;
 }
 
+Host read_host(const Json& row, const drill::Named& named, Millis offset) {
+    if (!row.is_object()) throw Bad{"should be an object"};
+    Host h;
+    h.name = text(row, "host");
+    const std::string state = text(row, "health");
+    ServerEntry& s = h.entry;
+    s.mode = state == "up"         ? Mode::healthy
+             : state == "draining" ? Mode::draining
+             : state == "removed"  ? Mode::gone
+                                   : throw Bad{"health: unknown '" + state + "'"};
+    if (s.mode == Mode::gone && !row.contains("class")) return h;  // its name is enough
+    h.dial = text(row, "dial");
+    sockaddr_storage a{};
+    if (!net::parse_address(h.dial, a)) throw Bad{"dial: no address"};
+    s.zone = index(named.zones, text(row, "site"), "site");
+    s.kind = index(named.kinds, text(row, "class"), "class");
+    const double cell = number(row, "block", 0);
+    s.cell = cell > 0 && cell < 9e15 ? static_cast<std::uint64_t>(cell) : 0;
+    s.weight = number(row, "share", 1);
+    const double born = number(row, "born_ms", 0);
+    if (born > 0) s.started = std::max(1e-3, born + offset);
+    return h;
+}
+
 }  // namespace
 
 // The same at every gateway, as the homes of prompts are chosen by it.
@@ -64,30 +88,8 @@
         e.form = saved ? ListEvent::Form::saved : whole ? ListEvent::Form::full : ListEvent::Form::changes;
         std::vector<Host> read;
         for (std::size_t i = 0; i < rows->size(); ++i) {
-            const Json& row = (*rows)[i];
             try {
-                if (!row.is_object()) throw Bad{"should be an object"};
-                Host h;
-                h.name = text(row, "host");
-                const std::string state = text(row, "health");
-                ServerEntry& s = h.entry;
-                s.mode = state == "up"         ? Mode::healthy
-                         : state == "draining" ? Mode::draining
-                         : state == "removed"  ? Mode::gone
-                                               : throw Bad{"health: unknown '" + state + "'"};
-                if (s.mode != Mode::gone || row.contains("class")) {
-                    h.dial = text(row, "dial");
-                    sockaddr_storage a{};
-                    if (!net::parse_address(h.dial, a)) throw Bad{"dial: no address"};
-                    s.zone = index(named_.zones, text(row, "site"), "site");
-                    s.kind = index(named_.kinds, text(row, "class"), "class");
-                    const double cell = number(row, "block", 0);
-                    s.cell = cell > 0 && cell < 9e15 ? static_cast<std::uint64_t>(cell) : 0;
-                    s.weight = number(row, "share", 1);
-                    const double born = number(row, "born_ms", 0);
-                    if (born > 0) s.started = std::max(1e-3, born + offset_);
-                }
-                read.push_back(std::move(h));
+                read.push_back(read_host((*rows)[i], named_, offset_));
             } catch (const Bad& b) {
                 throw Bad{"hosts[" + std::to_string(i) + "]." + b.why};
             }
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -5,11 +5,10 @@
 #include <chrono>
 #include <cmath>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "log/log.h"
+#include "settings/xml.h"
 
 namespace gorsenotch::platform {
 namespace {
@@ -46,15 +45,6 @@
     return k;
 }
 
-bool read_file(const std::string& file, std::string& text) {
-    std::ifstream in(file, std::ios::binary);
-    if (!in) return false;
-    std::ostringstream all;
-    all << in.rdbuf();
-    text = all.str();
-    return true;
-}
-
 std::string variable(const char* name) {
     const char* v = std::getenv(name);
     return v ? v : "";
@@ -71,10 +61,10 @@
       relay_(config_.named, config_.seed, hosts_, *this),
       clients_(loop, config_.named, relay_, clients_config(config_)),
       watch_(loop, config_.seed),
-      ticker_(loop, [this] { tick(); }),
+      ticker_(loop, [this] { return relay_.tick(); }),
       drainer_(loop, [this] { drain_step(); }),
       teller_(loop, [this] { status(); }) {
-    relay_.on_wake() = [this] { wake(); };
+    relay_.on_wake() = [this] { ticker_.wake(); };
     loop_.on_sleep = [this](Millis due) { relay_.sleeps(due); };
     loop_.on_look = [this] { relay_.looked(loop_.looked()); };
     watch_.on_list = [this](const std::string& text) -> std::optional<std::uint64_t> {
@@ -102,7 +92,7 @@
             log("warn", "known_refused", why);
         }
     }
-    wake();
+    ticker_.wake();
     if (const int e = clients_.listen()) return e;
     watch_.point(config_.discovery);
     teller_.after(kTell);
@@ -111,8 +101,8 @@
 }
 
 void Node::reload() {
-    std::string text;
-    if (!read_file(file_, text)) return log("error", "reload_refused", "GW_CONFIG: can't be read");
+    std::string text, why;
+    if (!settings::read_file(file_, text, why)) return log("error", "reload_refused", "GW_CONFIG: " + why);
     try {
         const Config next = parse_config(text, config_.listen, config_.discovery);
         watch_.point(next.discovery);
@@ -160,20 +150,6 @@
     log::write(level, event, {{"text", text}});
 }
 
-void Node::wake() {
-    if (waking_) return;
-    waking_ = true;
-    ticker_.after(0);
-}
-
-void Node::tick() {
-    // A timer set while others fire asks for a wake of its own; the one armed below covers it.
-    waking_ = true;
-    const Millis next = relay_.tick();
-    waking_ = false;
-    ticker_.after(std::max(0.0, next - net::now()));
-}
-
 void Node::status() {
     teller_.after(kTell);
     rusage use{};
@@ -224,11 +200,11 @@
 
 int run_node() {
     const std::string file = variable("GW_CONFIG");
-    std::string text;
+    std::string text, why;
     Config config;
     try {
         if (file.empty()) throw ConfigError("not set");
-        if (!read_file(file, text)) throw ConfigError(file + " can't be read");
+        if (!settings::read_file(file, text, why)) throw ConfigError(file + ": " + why);
         config = parse_config(text, variable("GW_LISTEN"), variable("GW_DISCOVERY"));
         const Router tried(config.named.settings, 0);  // refuses what it cannot meet
     } catch (const std::exception& e) {
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "decide/departure.h"
+#include "gateway/ticker.h"
 #include "gateway/upstream.h"
 #include "platform/clients.h"
 #include "platform/config.h"
@@ -34,8 +35,6 @@
     bool connected(const std::string& address) override { return upstream_.idle_at(address); }
     void log(const char* level, const char* event, const std::string& text) override;
 
-    void wake();
-    void tick();
     void drain_step();
     void status();
 
@@ -47,8 +46,8 @@
     Relay relay_;
     Clients clients_;
     Watch watch_;
-    net::Timer ticker_, drainer_, teller_;
-    bool waking_ = false;
+    gateway::Ticker ticker_;
+    net::Timer drainer_, teller_;
     Millis stopped_ = 0, started_ = 0;
     std::optional<decide::Departure> departure_;
     std::function<void()> done_;
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -2,23 +2,22 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
+
+#include "decide/overloaded.h"
 
 namespace gorsenotch::platform {
 namespace {
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-
 // A begun stream whose server says nothing for so long is broken. Below the 5 s within which a client must
 // see its end, above what a server eight times too slow takes for a few tokens.
 constexpr Millis kSilence = 4000;
 constexpr Millis kLetGoTry = 150;    // for a let-go to be answered, before another server is asked
 constexpr Millis kLetGoAgain = 350;  // after a read was cut off, until the second let-go
 
-std::string number(double x) { return std::to_string(static_cast<long long>(x)); }
+// A call without a body about what is held for a request.
+std::string room_call(const char* method, const std::string& txn, const std::string& dial) {
+    return http::request_head(method, "/bootstrap/rooms/" + txn, {{"host", dial}, {"content-length", "0"}});
+}
 
 }  // namespace
 
@@ -49,6 +48,17 @@
     return &r->tries[static_cast<std::size_t>(attempt)];
 }
 
+bool Relay::busy(const Request& r) {
+    return std::any_of(r.tries.begin(), r.tries.end(), [](const Try& t) { return t.out; });
+}
+
+bool Relay::begun(const Request& r) { return !r.tries.empty() && r.tries.back().first; }
+
+bool Relay::may_send(ServerId server) {
+    const Host* host = hosts_.find(server);
+    return host && host->entry.mode == Mode::healthy;
+}
+
 // ---- what comes in --------------------------------------------------------------------------------------
 
 void Relay::list(ListEvent e) { driver_.feed(std::move(e)); }
@@ -78,21 +88,16 @@
     r->client = nullptr;
     close(*r);
     driver_.feed(ClientGone{std::to_string(handle)});
-    if (!(r = find(handle))) return;
-    for (auto& t : r->tries) {  // a stream that nobody reads ends
-        if (t.out && t.first) return stop(t, Result::cancelled, "the client left");
-    }
+    if ((r = find(handle))) end_stream(*r, "the client left");
 }
 
 void Relay::client_congested(std::uint64_t handle, bool congested) {
     Request* r = find(handle);
     if (!r || r->congested == congested) return;
     r->congested = congested;
-    for (auto& t : r->tries) {
-        if (!t.out || !t.first) continue;
-        t.heard = ports_.now();
-        ports_.pause(*t.attempt, congested);
-    }
+    if (!begun(*r) || !r->tries.back().out) return;
+    r->tries.back().heard = ports_.now();
+    ports_.pause(*r->tries.back().attempt, congested);
 }
 
 // ---- the Router's actions -------------------------------------------------------------------------------
@@ -121,12 +126,7 @@
                           },
                           [&](const MoveStream& a) {
                               Request* r = find(a.request);
-                              if (!r || r->closed) return;
-                              ++counts_.moved;
-                              cut(*r);
-                              for (auto& t : r->tries) {
-                                  if (t.out && t.first) return stop(t, Result::cancelled, "moved");
-                              }
+                              if (r && !r->closed) move(*r, "moved");
                           },
                           [&](const Log& a) { ports_.log("debug", "router", a.text); },
                           // Timers are the driver's; probes are not spoken here; the watch is always open.
@@ -141,14 +141,13 @@
     const std::uint64_t handle = r->handle;
     const int n = static_cast<int>(r->tries.size());
     const Millis now = ports_.now();
-    auto& lateness = driver_.lateness();
     const Host* host = hosts_.find(a.server);
     Try t;
     t.server = a.server;
     t.sent = t.heard = now;
-    t.time = {now, a.limit, r->deadline, lateness.stood(), lateness.stood()};
+    t.time = driver_.begin(a.limit, r->deadline);
     // Guards against a send by an older list, and after the end.
-    if (!host || host->entry.mode != Mode::healthy || r->closed) {
+    if (!may_send(a.server) || r->closed) {
         t.out = false;
         r->tries.push_back(std::move(t));
         Outcome o;
@@ -161,14 +160,9 @@
     t.attempt = std::make_shared<Attempt>(t.read ? Attempt::Kind::read : Attempt::Kind::write);
     // Looked at again before the first byte: a drain may have been told while the connection came up.
     const ServerId server = a.server;
-    t.attempt->on_go = [this, server] {
-        const Host* h = hosts_.find(server);
-        return h && h->entry.mode == Mode::healthy;
-    };
+    t.attempt->on_go = [this, server] { return may_send(server); };
     t.attempt->on_handed = [this, handle, n] {
-        driver_.lateness().works(ports_.now());
-        Try* it = find_try(find(handle), n);
-        if (it && !it->handed) it->handed = true, it->time.stood_handed = driver_.lateness().stood();
+        if (Try* it = find_try(find(handle), n)) driver_.handed(it->time);
     };
     t.attempt->on_first = [this, handle, n](std::string_view events) { first(handle, n, events); };
     t.attempt->on_more = [this, handle, n](std::string_view events) { more(handle, n, events); };
@@ -179,14 +173,14 @@
         end_let_go(r->let_go);
         r->pinned = true;
     }
-    const Millis left = (a.limit > 0 ? std::min(a.limit, r->deadline - now) : r->deadline - now);
+    const Millis left = a.limit > 0 ? std::min(a.limit, r->deadline - now) : r->deadline - now;
     std::string request;
     request.reserve(r->in.head.size() + r->in.body.size() + 128);
     request.append(r->in.head)
         .append("host: ")
         .append(host->dial)
         .append("\r\nx-remaining: ")
-        .append(number(std::max(1.0, left)))
+        .append(std::to_string(static_cast<long long>(std::max(1.0, left))))
         .append("m\r\ncontent-length: ")
         .append(std::to_string(r->in.body.size()))
         .append("\r\n\r\n")
@@ -208,16 +202,12 @@
 
 void Relay::hold(const HoldPlace& a) {
     Request* r = find(a.request);
-    const Host* host = hosts_.find(a.server);
-    if (!r || r->closed || !host || host->entry.mode != Mode::healthy) return;
+    if (!r || r->closed || !may_send(a.server)) return;
     const std::uint64_t handle = r->handle;
     const ServerId server = a.server;
     r->pinned = true, r->holder = server;
     r->hold = std::make_shared<Attempt>(Attempt::Kind::call);
-    r->hold->on_go = [this, server] {
-        const Host* h = hosts_.find(server);
-        return h && h->entry.mode == Mode::healthy;
-    };
+    r->hold->on_go = [this, server] { return may_send(server); };
     r->hold->on_over = [this, handle, server](const Ending& e) {
         Request* it = find(handle);
         // 204 and no answer say nothing: a place may be held all the same, and is let go of in the end.
@@ -226,17 +216,14 @@
     };
     driver_.alarm(Kind::hold, ports_.now() + 1000, r, 0, 0, true);
     const auto call = r->hold;
-    ports_.start(host->dial,
-                 "POST /bootstrap/rooms/" + r->in.txn + " HTTP/1.1\r\nhost: " + host->dial +
-                     "\r\ncontent-length: 0\r\n\r\n",
-                 call);
+    const std::string& dial = hosts_.find(server)->dial;
+    ports_.start(dial, room_call("POST", r->in.txn, dial), call);
 }
 
 // Lets go of all that may be held for the request. Not while an attempt is out: it may need it, and the time
 // in which it must be let go does not run.
 void Relay::drop(Request& r) {
-    if (std::any_of(r.tries.begin(), r.tries.end(), [](const Try& t) { return t.out; })) return;
-    if (!r.pinned) return;
+    if (busy(r) || !r.pinned) return;
     r.pinned = false;
     const std::uint64_t id = ++last_;
     LetGo& l = let_gos_[id];
@@ -287,10 +274,7 @@
         at->second.asked.clear();
         driver_.alarm(Kind::let_go, at->second.next, nullptr, 0, id, false);
     };
-    ports_.start(best->dial,
-                 "DELETE /bootstrap/rooms/" + l.txn + " HTTP/1.1\r\nhost: " + best->dial +
-                     "\r\ncontent-length: 0\r\n\r\n",
-                 call);
+    ports_.start(best->dial, room_call("DELETE", l.txn, best->dial), call);
 }
 
 // Guards against calls to a silent server that would keep their connections for good.
@@ -319,10 +303,9 @@
     if (r.closed) return;
     Client* client = r.client;
     r.client = nullptr;
-    const bool begun = std::any_of(r.tries.begin(), r.tries.end(), [](const Try& t) { return t.first; });
     close(r);
     if (!client) return;
-    if (begun) return client->cut();
+    if (begun(r)) return client->cut();
     client->final(status, pause, why);
 }
 
@@ -333,6 +316,17 @@
     if (client) client->cut();
 }
 
+// A stream that nobody reads any more ends.
+void Relay::end_stream(Request& r, const char* why) {
+    if (begun(r) && r.tries.back().out) stop(r.tries.back(), Result::cancelled, why);
+}
+
+void Relay::move(Request& r, const char* why) {
+    ++counts_.moved;
+    cut(r);
+    end_stream(r, why);
+}
+
 void Relay::first(std::uint64_t handle, int attempt, std::string_view events) {
     driver_.catch_up();
     Request* r = find(handle);
@@ -398,31 +392,27 @@
 
 std::size_t Relay::streams() const {
     return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [](const auto& r) {
-        return !r.second.closed && !r.second.tries.empty() && r.second.tries.back().first;
+        return !r.second.closed && begun(r.second);
     }));
 }
 
 void Relay::hand_back(std::size_t n) {
     std::vector<std::uint64_t> handles;
     for (const auto& [handle, r] : requests_) {
-        if (!r.closed && !r.tries.empty() && r.tries.back().first) handles.push_back(handle);
+        if (!r.closed && begun(r)) handles.push_back(handle);
     }
     std::sort(handles.rbegin(), handles.rend());  // the latest have the most ahead of them
     if (handles.size() > n) handles.resize(n);
     for (const auto handle : handles) {
         Request* r = find(handle);
-        if (!r || r->closed) continue;
-        ++counts_.moved;
-        cut(*r);
-        Try& t = r->tries.back();
-        if (t.out) stop(t, Result::cancelled, "handed back");
+        if (r && !r->closed) move(*r, "handed back");
     }
 }
 
 void Relay::refuse_rest() {
     std::vector<std::uint64_t> handles;
     for (const auto& [handle, r] : requests_) {
-        if (!r.closed && (r.tries.empty() || !r.tries.back().first)) handles.push_back(handle);
+        if (!r.closed && !begun(r)) handles.push_back(handle);
     }
     for (const auto handle : handles) {
         Request* r = find(handle);
@@ -451,8 +441,7 @@
     if (!t || !t->out) return;
     if (a.kind == Kind::limit) {
         if (t->first) return;
-        if (!t->handed) t->time.stood_handed = driver_.lateness().stood();
-        if (t->time.due() > now) return driver_.alarm(Kind::limit, t->time.due(), r, a.attempt, 0, true);
+        if (!driver_.up(t->time)) return driver_.alarm(Kind::limit, t->time.due(), r, a.attempt, 0, true);
         stop(*t, t->time.engines_fault() ? Result::late : Result::cancelled, "no answer in time");
     } else if (a.kind == Kind::idle) {
         // Guards against a begun stream whose server went silent: nobody else would end it.
@@ -467,7 +456,7 @@
     for (std::size_t i = 0; i < done_.size(); ++i) {
         Request* r = find(done_[i]);
         if (!r || !r->closed) continue;
-        if (std::any_of(r->tries.begin(), r->tries.end(), [](const Try& t) { return t.out; })) continue;
+        if (busy(*r)) continue;
         drop(*r);
         if (r->hold && !r->hold->over()) {
             const auto call = r->hold;
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -54,10 +54,10 @@
 public:
     Relay(const drill::Named& named, std::uint64_t seed, Hosts& hosts, Ports& ports);
 
-    void list(ListEvent e);  // after Hosts has taken it
-    // False: a request with this id is open; nothing was taken. `age`: ms since its first byte came. The
-    // handle names it in the calls below, never 0.
-    bool open(const std::string& txn) const { return txns_.count(txn) > 0; }
+    void list(ListEvent e);                                                   // after Hosts has taken it
+    bool open(const std::string& txn) const { return txns_.count(txn) > 0; }  // a request with this id
+    // Returns the handle that names it in the calls below; 0: one with its id is open, and nothing was taken.
+    // `age`: ms since its first byte came.
     std::uint64_t arrive(Inbound in, Millis age, Client* client);
     void client_gone(std::uint64_t handle);
     void client_congested(std::uint64_t handle, bool congested);
@@ -82,7 +82,7 @@
     struct Try {
         std::shared_ptr<Attempt> attempt;
         ServerId server = 0;
-        bool read = false, out = true, first = false, handed = false;
+        bool read = false, out = true, first = false;
         Millis sent = 0, heard = 0;
         decide::AttemptTime time;
     };
@@ -116,6 +116,9 @@
     Request* find(std::uint64_t handle);
     Request* find(const RequestId& id);
     Try* find_try(Request* r, int attempt);
+    static bool busy(const Request& r);   // an attempt is out
+    static bool begun(const Request& r);  // its stream has; no attempt follows that one
+    bool may_send(ServerId server);       // by the latest list
     void carry(const Action& a);
     void start(const gorsenotch::Attempt& a);
     void stop(Try& t, Result result, const char* why);
@@ -125,6 +128,8 @@
     void end_let_go(std::uint64_t id);
     void final(Request& r, int status, Millis pause, const char* why);
     void cut(Request& r);
+    void end_stream(Request& r, const char* why);
+    void move(Request& r, const char* why);
     void first(std::uint64_t handle, int attempt, std::string_view events);
     void more(std::uint64_t handle, int attempt, std::string_view events);
     void over(std::uint64_t handle, int attempt, const Ending& e);
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -21,7 +21,6 @@
       burier_(loop, [this] { old_.reset(); }) {}
 
 void Watch::point(const std::string& address) {
-    stopped_ = false;
     if (address == address_ && stream_) return;
     address_ = address;
     faults_ = 0;
@@ -30,12 +29,6 @@
     connect();
 }
 
-void Watch::stop() {
-    stopped_ = true;
-    timer_.stop();
-    stream_.reset();
-}
-
 void Watch::connect() {
     stream_ = std::make_unique<net::Stream>(loop_);
     parser_ =
@@ -59,7 +52,7 @@
         target += "?from=" + std::to_string(*from_) + "&hold_ms=" + std::to_string(static_cast<long>(kHold));
     }
     timer_.after_look(from_ ? kHold + kSlack : kWhole);
-    stream_->write("GET " + target + " HTTP/1.1\r\nhost: " + address_ + "\r\n\r\n");
+    stream_->write(http::request_head("GET", target, {{"host", address_}}));
 }
 
 void Watch::data(std::string_view bytes) {
@@ -83,7 +76,6 @@
 
 // What is held goes on; the next try is soon, as what discovery has to tell counts as told.
 void Watch::fault(const std::string& why) {
-    if (stopped_) return;
     if (faults_++ == 0 && !why.empty() && on_fault) on_fault(why);
     from_.reset();
     old_ = std::move(stream_);
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -21,7 +21,6 @@
 
     Watch(net::Loop& loop, std::uint64_t seed);
     void point(const std::string& address);  // starts, or moves to another address at once
-    void stop();
 
 private:
     void connect();
@@ -36,7 +35,6 @@
     std::unique_ptr<http::Parser> parser_;
     net::Timer timer_, burier_;
     std::optional<std::uint64_t> from_;
-    bool waiting_ = false, stopped_ = true;  // waiting: for an answer; else to connect
     int faults_ = 0;
 };
 
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -6,18 +6,13 @@
 #include <stdexcept>
 #include <type_traits>
 
+#include "decide/overloaded.h"
+
 namespace gorsenotch::state {
 namespace {
 
 using Json = nlohmann::json;
 
-template <class... Ts>
-struct Overloaded : Ts... {
-    using Ts::operator()...;
-};
-template <class... Ts>
-Overloaded(Ts...) -> Overloaded<Ts...>;
-
 Json report_json(const LoadReport& r) { return {r.memory_share, r.waiting_ktokens, r.latency}; }
 LoadReport report_of(const Json& j) { return {j.at(0), j.at(1), j.at(2)}; }
 
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -1,6 +1,8 @@
 // One test for each failure found, and for each guard's symptom.
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <map>
 #include <random>
 
 #include "checker.h"
@@ -30,6 +32,37 @@
         bench->feed(now + 9, outcome(id, 1, a[0].server, Result::served, true));
         return r;
     }
+    static constexpr Millis kNever = 1e18;
+    // A request every 50 ms, read at once at reader 1. `length` of its stream, by its writer and the time;
+    // `moved` is told where one was taken off.
+    void stream(int count, const std::function<Millis(ServerId, Millis)>& length,
+                const std::function<void(ServerId)>& moved) {
+        std::multimap<Millis, RequestId> ends;
+        std::map<RequestId, ServerId> where;
+        for (int i = 0; i < count; ++i) {
+            const Millis now = 50.0 * (i + 1);
+            while (!ends.empty() && ends.begin()->first <= now) {
+                const RequestId id = ends.begin()->second;
+                ends.erase(ends.begin());
+                if (where.count(id)) bench->feed(now - 1, outcome(id, 1, where[id], Result::served, true));
+                where.erase(id);
+            }
+            bench->run_to(now);
+            for (const auto& m : bench->all<MoveStream>()) {
+                moved(where[m.request]);
+                bench->feed(now, outcome(m.request, 1, where[m.request], Result::cancelled, true));
+                where.erase(m.request);
+            }
+            const RequestId id = "s" + std::to_string(i);
+            if (!read_at(id, now)) continue;
+            bench->feed(now + 1, outcome(id, 0, 1, Result::read_done));
+            const auto a = bench->all<Attempt>();
+            if (a.empty()) continue;
+            bench->feed(now + 2, FirstToken{id, 1, a[0].server, 1});
+            where[id] = a[0].server;
+            ends.emplace(now + length(a[0].server, now), id);
+        }
+    }
     void TearDown() override { EXPECT_EQ(bench->checker.breaches, std::vector<std::string>{}); }
     std::unique_ptr<Bench> bench;
 };
@@ -110,34 +143,15 @@
 
 TEST_F(Guards, StreamsLeaveASilentWriter) {
     start(plain_settings(), {reader(1), writer(11), writer(12), writer(13), writer(14)});
-    // A request every 50 ms with streams of 800 ms; from 5 s on those at writer 11 never end.
-    std::multimap<Millis, RequestId> ends;
-    std::map<RequestId, ServerId> where;
+    // Streams of 800 ms; from 4 s on those at writer 11 never end.
     int moved_well = 0, moved_silent = 0, late = 0;
-    for (int i = 0; i < 240; ++i) {
-        const Millis now = 50.0 * (i + 1);
-        while (!ends.empty() && ends.begin()->first <= now) {
-            const RequestId id = ends.begin()->second;
-            ends.erase(ends.begin());
-            if (where.count(id)) bench->feed(now - 1, outcome(id, 1, where[id], Result::served, true));
-            where.erase(id);
-        }
-        bench->run_to(now);
-        for (const auto& m : bench->all<MoveStream>()) {
-            ++(where[m.request] == 11 ? moved_silent : moved_well);
-            bench->feed(now, outcome(m.request, 1, where[m.request], Result::cancelled, true));
-            where.erase(m.request);
-        }
-        const RequestId id = "s" + std::to_string(i);
-        if (!read_at(id, now)) continue;
-        bench->feed(now + 1, outcome(id, 0, 1, Result::read_done));
-        const auto a = bench->all<Attempt>();
-        if (a.empty()) continue;
-        bench->feed(now + 2, FirstToken{id, 1, a[0].server, 1});
-        where[id] = a[0].server;
-        if (now > 9000) late += a[0].server == 11;
-        if (a[0].server != 11 || now < 4000) ends.emplace(now + 800, id);
-    }
+    stream(
+        240,
+        [&](ServerId at, Millis now) {
+            if (now > 9000) late += at == 11;
+            return at != 11 || now < 4000 ? 800 : kNever;
+        },
+        [&](ServerId at) { ++(at == 11 ? moved_silent : moved_well); });
     EXPECT_GT(moved_silent, 0);
     EXPECT_EQ(moved_well, 0);
     EXPECT_LE(late, 3);
@@ -208,33 +222,14 @@
     start(plain_settings(), {reader(1), writer(11), writer(12), writer(13), writer(14)});
     std::mt19937_64 random(7);
     std::exponential_distribution<double> length(1.0 / 800);
-    std::multimap<Millis, RequestId> ends;
-    std::map<RequestId, ServerId> where;
     int moved = 0, streams = 0;
-    for (int i = 0; i < 1500; ++i) {
-        const Millis now = 50.0 * (i + 1);
-        while (!ends.empty() && ends.begin()->first <= now) {
-            const RequestId id = ends.begin()->second;
-            ends.erase(ends.begin());
-            if (where.count(id)) bench->feed(now - 1, outcome(id, 1, where[id], Result::served, true));
-            where.erase(id);
-        }
-        bench->run_to(now);
-        for (const auto& m : bench->all<MoveStream>()) {
-            ++moved;
-            bench->feed(now, outcome(m.request, 1, where[m.request], Result::cancelled, true));
-            where.erase(m.request);
-        }
-        const RequestId id = "s" + std::to_string(i);
-        if (!read_at(id, now)) continue;
-        bench->feed(now + 1, outcome(id, 0, 1, Result::read_done));
-        const auto a = bench->all<Attempt>();
-        if (a.empty()) continue;
-        bench->feed(now + 2, FirstToken{id, 1, a[0].server, 1});
-        where[id] = a[0].server;
-        ends.emplace(now + length(random), id);
-        ++streams;
-    }
+    stream(
+        1500,
+        [&](ServerId, Millis) {
+            ++streams;
+            return length(random);
+        },
+        [&](ServerId) { ++moved; });
     EXPECT_GT(streams, 1000);
     EXPECT_LE(moved, streams / 100);
 }
--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -176,6 +176,28 @@
   agent.destroy();
 });
 
+test('a request behind another on one connection waits for its turn, however the bytes are cut', async () => {
+  writer.behave = () => false;
+  const one = (id) => `POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\n` +
+    `x-remaining: 2500m\r\ncontent-length: 2\r\n\r\n{}`;
+  for (const cut of [10, 200, 100000]) {
+    const bytes = one(`a-${cut}`) + one(`b-${cut}`) + 'GET /nothing HTTP/1.1\r\n\r\n';
+    const text = await new Promise((done) => {
+      let got = '';
+      const s = net.connect(gateway.port, '127.0.0.1', async () => {
+        s.setNoDelay(true);
+        for (let i = 0; i < bytes.length; i += cut) { s.write(bytes.slice(i, i + cut)); await sleep(1); }
+      });
+      s.on('data', (d) => { got += d; });
+      s.on('close', () => done(got));
+    });
+    assert.equal(text.match(/\[DONE\]/g)?.length, 2, text);
+    assert.match(text, /HTTP\/1.1 200 .*HTTP\/1.1 200 .*HTTP\/1.1 404 /s);
+    const order = writer.seen.map((r) => r.headers['x-txn']);
+    assert.ok(order.indexOf(`a-${cut}`) < order.indexOf(`b-${cut}`) && order.includes(`a-${cut}`));
+  }
+});
+
 test('a client that leaves has its state let go of', async () => {
   writer.behave = (r) => r.headers['x-txn'] === 'id-5';  // never answers
   const req = http.request({ host: '127.0.0.1', port: gateway.port, path: '/v1/chat/completions', method: 'POST',
