Platform: a fault of discovery reaches the Router; the relay in every order of events

Change: the watch's first fault is a ListEvent of form failed. Relay::carry is public, for actions that this module never asks for.

--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -77,7 +77,12 @@
         if (!e->entries.empty() || e->form == ListEvent::Form::full) relay_.list(std::move(*e));
         return hosts_.version();
     };
-    watch_.on_fault = [this](const std::string& why) { log("warn", "discovery", why); };
+    watch_.on_fault = [this](const std::string& why) {
+        log("warn", "discovery", why);
+        ListEvent failed;
+        failed.form = ListEvent::Form::failed;
+        relay_.list(std::move(failed));
+    };
 }
 
 Node::~Node() { loop_.on_sleep = nullptr, loop_.on_look = nullptr; }
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -54,8 +54,12 @@
 public:
     Relay(const drill::Named& named, std::uint64_t seed, Hosts& hosts, Ports& ports);
 
-    void list(ListEvent e);                                                   // after Hosts has taken it
-    bool open(const std::string& txn) const { return txns_.count(txn) > 0; }  // a request with this id
+    // After Hosts has taken it, or to say that discovery failed.
+    void list(ListEvent e);
+    // Carries out one of the Router's actions. Public for those that this module never asks for.
+    void carry(const Action& a);
+    // A request with this id is.
+    bool open(const std::string& txn) const { return txns_.count(txn) > 0; }
     // Returns the handle that names it in the calls below; 0: one with its id is open, and nothing was taken.
     // `age`: ms since its first byte came.
     std::uint64_t arrive(Inbound in, Millis age, Client* client);
@@ -119,7 +123,6 @@
     static bool busy(const Request& r);   // an attempt is out
     static bool begun(const Request& r);  // its stream has; no attempt follows that one
     bool may_send(ServerId server);       // by the latest list
-    void carry(const Action& a);
     void start(const gorsenotch::Attempt& a);
     void stop(Try& t, Result result, const char* why);
     void hold(const HoldPlace& a);
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -2,6 +2,10 @@
 // own.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <random>
+#include <set>
+
 #include "platform/config.h"
 #include "platform/relay.h"
 
@@ -403,6 +407,23 @@
             std::count_if(world.sent.begin(), world.sent.end(),
                           [](const auto& s) { return s.request.rfind("DELETE /bootstrap/rooms/", 0) == 0; }));
     }
+    void drain_writer(bool on = true) {
+        list(
+            std::string(
+                R"({"seq":9,"whole":false,"hosts":[{"host":"w1","dial":"10.0.0.3:1","site":"a","class":"decode",)") +
+            R"("block":1,"share":1.0,"born_ms":0,"health":")" + (on ? "draining" : "up") + "\"}]}");
+    }
+    // All let-gos are answered, the second ones too.
+    void settle() {
+        for (int i = 0; i < 2; ++i) {
+            for (std::size_t n = 0; n < world.sent.size(); ++n) {
+                auto& s = world.sent[n];
+                if (s.request.rfind("DELETE", 0) == 0 && !s.attempt->over())
+                    s.attempt->data("HTTP/1.1 204 No Content\r\n\r\n");
+            }
+            pass(400);
+        }
+    }
     void let_go() {
         ASSERT_EQ(last().request.rfind("DELETE /bootstrap/rooms/t1 ", 0), 0u) << last().request;
         answer("HTTP/1.1 204 No Content\r\n\r\n");
@@ -484,8 +505,7 @@
 }
 
 TEST_F(RelayTest, NothingGoesToAServerThatIsToldToDrainMeanwhile) {
-    list(R"({"seq":9,"whole":false,"hosts":[{"host":"w1","dial":"10.0.0.3:1","site":"a","class":"decode",
-        "block":1,"health":"draining","share":1.0,"born_ms":0}]})");
+    drain_writer();
     ask("t1", client);
     for (const auto& s : world.sent) EXPECT_NE(s.address, "10.0.0.3:1");
     EXPECT_EQ(client.status, 503);
@@ -516,13 +536,178 @@
     EXPECT_EQ(waiting.ended, 0);
     relay.refuse_rest();
     EXPECT_EQ(waiting.status, 503);
-    for (int i = 0; i < 2; ++i) {
-        for (std::size_t n = 0; n < world.sent.size(); ++n) {
-            auto& s = world.sent[n];
-            if (s.request.rfind("DELETE", 0) == 0 && !s.attempt->over())
-                s.attempt->data("HTTP/1.1 204 No Content\r\n\r\n");
+    settle();
+}
+
+TEST_F(RelayTest, PlacesHeldAheadAreToldApartAndLetGoOf) {
+    const std::pair<std::string, const char*> answers[] = {{"t200", "200 OK"},
+                                                           {"t409", "409 Conflict"},
+                                                           {"t204", "204 No"},
+                                                           {"t404", "404 Not"},
+                                                           {"silent", ""}};
+    for (const auto& [txn, status] : answers) {
+        const auto handle = ask(txn, client);
+        const std::size_t read = world.sent.size() - 1;
+        ServerId writer = 0;
+        for (const auto& [id, h] : hosts.all()) writer = h.name == "w1" ? id : writer;
+        relay.carry(HoldPlace{std::to_string(handle), writer});
+        ASSERT_EQ(world.sent.size(), read + 2);
+        EXPECT_EQ(last().request.rfind("POST /bootstrap/rooms/" + txn + " HTTP/1.1\r\n", 0), 0u);
+        EXPECT_EQ(last().address, "10.0.0.3:1");
+        const std::size_t call = world.sent.size() - 1;
+        if (*status) answer(std::string("HTTP/1.1 ") + status + "\r\ncontent-length: 0\r\n\r\n");
+        EXPECT_TRUE(relay.open(txn)) << "whatever the answer, the request goes on";
+        if (!*status) {
+            pass(1200);
+            EXPECT_TRUE(world.sent[call].closed) << "a silent writer keeps no connection for good";
         }
-        pass(400);
+        const std::size_t before = let_gos();
+        relay.client_gone(handle);
+        EXPECT_EQ(let_gos(), before + 1) << "a place may be held whatever was answered";
+        EXPECT_TRUE(world.sent[read].closed);
+        settle();
+    }
+}
+
+TEST_F(RelayTest, ADrainThatIsToldWhileTheConnectionComesUpIsKept) {
+    ask("t1", client);
+    read_done();
+    ASSERT_EQ(last().address, "10.0.0.3:1");
+    const auto write = last().attempt;
+    EXPECT_TRUE(write->may_go());
+    drain_writer();
+    EXPECT_FALSE(write->may_go());
+    write->not_sent();
+    EXPECT_EQ(client.status, 503);
+    settle();
+}
+
+TEST_F(RelayTest, NoPlaceIsHeldAtADrainingServer) {
+    const auto handle = ask("t1", client);
+    ServerId writer = 0;
+    for (const auto& [id, h] : hosts.all()) writer = h.name == "w1" ? id : writer;
+    drain_writer();
+    const std::size_t before = world.sent.size();
+    relay.carry(HoldPlace{std::to_string(handle), writer});
+    EXPECT_EQ(world.sent.size(), before);
+    relay.client_gone(handle);
+    settle();
+}
+
+TEST_F(RelayTest, AMovedStreamGoesBackToItsClientOnce) {
+    const auto handle = ask("t1", client);
+    read_done();
+    answer(kStream + chunked("data: a\n\n"));
+    relay.carry(MoveStream{std::to_string(handle)});
+    relay.carry(MoveStream{std::to_string(handle)});
+    EXPECT_TRUE(client.cutoff);
+    EXPECT_EQ(client.ended, 1);
+    EXPECT_TRUE(last().closed);
+}
+
+// Every order of arrivals, answers, breaks, leaving clients, lists and a stop: one end for each client, one
+// attempt of a request at a time, nothing new to what drains, no state left.
+TEST_F(RelayTest, RulesHoldInEveryOrder) {
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto below = [&](std::size_t n) { return static_cast<std::size_t>(random() % n); };
+        struct Asked {
+            FakeClient client;
+            std::uint64_t handle = 0;
+            bool gone = false;
+        };
+        std::map<std::string, Asked> asked;
+        std::set<std::string> held;
+        world.sent.clear();
+        std::size_t seen = 0;
+        bool drained = false;
+        const auto txn = [](const World::Sent& s) {
+            const auto at = s.request.find("x-txn: ") + 7;
+            return s.request.substr(at, s.request.find("\r\n", at) - at);
+        };
+        const auto let_go = [](const World::Sent& s) { return s.request.rfind("DELETE", 0) == 0; };
+        const auto look = [&] {  // at what was sent since
+            for (; seen < world.sent.size(); ++seen) {
+                const auto& s = world.sent[seen];
+                if (let_go(s)) {  // it counts once it has reached a server, answered or not
+                    const auto from = s.request.find("rooms/") + 6;
+                    held.erase(s.request.substr(from, s.request.find(' ', from) - from));
+                }
+                if (s.request.empty() || let_go(s)) continue;
+                EXPECT_FALSE(drained && s.address == "10.0.0.3:1");
+                for (std::size_t i = 0; i < seen; ++i) {
+                    const auto& o = world.sent[i];
+                    EXPECT_FALSE(!o.request.empty() && !let_go(o) && txn(o) == txn(s) && !o.closed &&
+                                 !o.attempt->over())
+                        << "two attempts of " << txn(s);
+                }
+            }
+        };
+        const auto engine = [&](bool kindly) {  // one of those that wait does something
+            std::vector<std::size_t> out;
+            for (std::size_t i = 0; i < world.sent.size(); ++i) {
+                if (!world.sent[i].request.empty() && !world.sent[i].closed && !world.sent[i].attempt->over())
+                    out.push_back(i);
+            }
+            if (out.empty()) return false;
+            // Copies: an answer may send more.
+            const auto s = world.sent[out[below(out.size())]];
+            const std::size_t how = kindly ? 0 : below(6);
+            if (let_go(s)) {
+                if (how > 4)
+                    s.attempt->ended();
+                else
+                    s.attempt->data("HTTP/1.1 204 No Content\r\n\r\n");
+            } else if (how == 5) {
+                s.attempt->ended();
+            } else if (how == 4) {
+                s.attempt->data("HTTP/1.1 503 no\r\nx-turned-away: 1\r\ncontent-length: 0\r\n\r\n");
+            } else if (s.address != "10.0.0.3:1") {
+                held.insert(txn(s));
+                s.attempt->data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+            } else if (how == 3) {
+                s.attempt->data("noise");
+            } else {
+                held.erase(txn(s));  // the write has taken it
+                if (how < 2)
+                    s.attempt->data(kStream + chunked("data: a\n\n") + "0\r\n\r\n");
+                else
+                    s.attempt->data(kStream + chunked("data: a\n\n") + "zz");
+            }
+            return true;
+        };
+        for (int step = 0; step < 120; ++step) {
+            const std::size_t what = below(10);
+            if (what < 3) {
+                const std::string id = std::to_string(seed) + "-" + std::to_string(step);
+                Asked& a = asked[id];
+                a.handle = ask(id, a.client);
+            } else if (what < 7) {
+                engine(false);
+            } else if (what == 7 && !asked.empty()) {
+                auto it = std::next(asked.begin(), static_cast<std::ptrdiff_t>(below(asked.size())));
+                if (it->second.client.ended == 0 && !it->second.gone)
+                    it->second.gone = true, relay.client_gone(it->second.handle);
+            } else if (what == 8 && below(3) == 0) {
+                drained = !drained;
+                drain_writer(drained);
+            } else {
+                pass(static_cast<Millis>(5 * below(40)));
+            }
+            look();
+        }
+        if (below(2) == 0) relay.hand_back(relay.streams()), relay.refuse_rest();
+        for (int i = 0; i < 40; ++i) {
+            while (engine(true)) look();
+            pass(400);
+        }
+        for (const auto& [id, a] : asked) EXPECT_EQ(a.client.ended, a.gone ? 0 : 1) << id;
+        EXPECT_TRUE(held.empty()) << *held.begin() << " is still held";
+        EXPECT_EQ(relay.open(), 0u);
+        EXPECT_EQ(relay.attempts_out(), 0u);
+        EXPECT_EQ(relay.let_gos(), 0u);
+        if (drained) drain_writer(false);
+        if (HasFailure()) FAIL() << "seed " << seed;
     }
 }
 
