--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -488,14 +488,18 @@
     for (const auto& s : servers_) engines.push_back(s->engine);
     const std::string fresh = g.fleet + ".new";
     std::ofstream(fresh, std::ios::trunc) << settings::write_fleet(engines, plan_.program);
+    // A gateway may read the file as soon as it has its name, before this process runs on: what it is allowed
+    // from then on counts from before the renaming, what it is forbidden from after it.
+    const Millis before = net::now();
     std::error_code error;
     std::filesystem::rename(fresh, g.fleet, error);
+    const Millis after = net::now();
     for (const auto& e : engines) {
         Mode& told = g.told.emplace(e.entry.server, Mode::healthy).first->second;
         if (told == e.entry.mode) continue;
         told = e.entry.mode;
         const char* word = told == Mode::healthy ? "healthy" : told == Mode::draining ? "draining" : "gone";
-        recorder_->write(net::now(), "told",
+        recorder_->write(told == Mode::healthy ? before : after, "told",
                          {{"server", e.entry.server}, {"mode", word}, {"gateway", g.name}});
     }
 }
