What was learnt of sites without load reports acts only where no server reports

Cause: longer waits for reads, stronger moves between zones and later refusals acted wherever visits are rare; where servers report, the next pick is informed, and on cairo a time-out also stops the work.

Change: blind(), visits are rare and no report has been heard, is the condition of all three. The test of a read's time-out has the case with reports.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -366,8 +366,8 @@
         if (!sparse()) return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
         // A read is work that is done anew elsewhere, so in a jam early time-outs double the load. Does harm
         // where a reader is silent: its reads are late, the first from each gateway.
-        return std::min(
-            left, std::max(kQuickTimes * quick_[stage].value * span(r, stage), kPatience[stage] * aim(r)));
+        return std::min(left, std::max(kQuickTimes * quick_[stage].value * span(r, stage),
+                                       kPatience[stage == reading && blind() ? 0 : 1] * aim(r)));
     }
 
     // What a stage's time is measured by: the tokens to read, those ahead too, or the prompt to fetch.
@@ -381,7 +381,7 @@
         const Server* server = find(r.server);
         if (reader && server && (r.stage == reading || reader->entry.cell != server->entry.cell)) {
             Cell& c = cells_[reader->entry.cell];
-            c.spent += done ? std::min(1.0, (now_ - r.sent) / aim(r)) : 1;
+            c.spent += done || !blind() ? std::min(1.0, (now_ - r.sent) / aim(r)) : 1;
             c.reads += r.stage == reading;
         }
         const double took = (now_ - r.sent) / span(r, r.stage);
@@ -510,7 +510,7 @@
         if (own_zone) {
             double own = 0, all = 0;
             for (const Server* s : fit) {
-                const double part = std::pow(pull(*s), 4);
+                const double part = std::pow(pull(*s), blind() ? 4 : 2);
                 all += part, own += s->entry.zone == s_.own_zone ? part : 0;
             }
             const bool stays = !sparse() || fraction(r.a.session, 0) * all <= own * s_.zones;
@@ -641,6 +641,7 @@
     void hear(Server& s, const LoadReport& report) {
         if (report.memory_share < 0) return;
         s.memory_share = report.memory_share;
+        reports_ = true;
         s.heard = now_;
         s.others = std::max(0.0, report.memory_share * memory(s) - s.held);
     }
@@ -725,6 +726,9 @@
                usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
     }
 
+    // Nor do reports show it: a jam is met by chance, and what is met must be trusted less and acted on more.
+    bool blind() const { return sparse() && !reports_; }
+
     // Overload makes all slow: only a minority of a role may be flagged for slowness or failures.
     bool minority(const Server& s, Stage stage = reading) const {
         int peers = 0, bad = 0;
@@ -928,7 +932,7 @@
         const Millis pace = std::min(quick_[reading].value, usual(reading, r).value());
         const Millis room = std::max(aim(r) - pace * fresh(r), kRoomLeast * aim(r));
         const Millis queue = wait(r) - pace * std::min(fresh(r), fresh_);
-        return queue > (sparse() ? kDoubt : 1) * room * (0.3 + 0.5 * value);
+        return queue > (blind() ? kDoubt : 1) * room * (0.3 + 0.5 * value);
     }
 
     double burst(const TenantSettings& t) const { return std::max(2.0, 2 * t.quota_per_s / s_.gateways); }
@@ -976,6 +980,7 @@
     std::uint64_t serial_ = 0;
     double retries_ = 0;
     Rate arrivals_;
+    bool reports_ = false;           // servers tell of their load
     double prompt_ = 0, fresh_ = 0;  // usual length, and usual thousands of tokens to read of it
     std::array<std::vector<Usual>, 3> typical_;
     std::array<Quick, 2> quick_;
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -156,6 +156,14 @@
     bench.feed(30, outcome("a", 0, read.server, Result::read_done));
     ASSERT_EQ(bench.all<Attempt>().size(), 1u);
     EXPECT_LT(bench.all<Attempt>()[0].limit, s.classes[0].aim) << "a wait is short work, and is moved soon";
+    // Where servers report their load the next pick is an informed one, and a read is moved sooner.
+    Outcome heard = outcome("a", 1, bench.all<Attempt>()[0].server, Result::served, true);
+    heard.report.memory_share = 0.3;
+    bench.feed(40, FirstToken{"a", 1, heard.server, 1});
+    bench.feed(50, heard);
+    bench.feed(60, arrival("b", 60));
+    ASSERT_EQ(bench.all<Attempt>().size(), 1u);
+    EXPECT_LT(bench.all<Attempt>()[0].limit, 2 * s.classes[0].aim);
 }
 
 // Found there too: the gateways of a zone whose readers jam never looked into the other zone, as what they
