--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -213,7 +213,8 @@
     g.expected = false;
     const std::string log = o_.out + "/gateway-" + std::to_string(g.number) + ".log";
     g.child = std::make_unique<net::Child>(loop_, [this, &g, log](int status, int signal) {
-        if (!playing_ && !ended_) return could_not_start("gateway " + g.name, log, status, signal);
+        if (ended_) return;  // killed by end(): that is no fault of its own, and the first one has been told
+        if (!playing_) return could_not_start("gateway " + g.name, log, status, signal);
         if (!g.expected || (stopping_ && (status != 0 || signal != 0)))
             error_ = "gateway " + g.name + " ended with status " + std::to_string(status) + ", signal " +
                      std::to_string(signal);
