Platform: one place for a client that left, for a fault told, for an attempt's time; dead flag out

Behaviour as before.

Change: Watch::Call::overdue was set and never read; the telling of a fault stood twice (now tell()). Relay::start repeated what client_gone does (now left()). Try::limit held what the attempt's AttemptTime already holds. Stream::peer_closed said 'false if the system can't tell' and does the opposite. In shed() two comments stood at the wrong lines.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -926,12 +926,12 @@
             }
         }
         if (r.a.resumed) return false;
-        // Guards against a gateway that met a jammed server and refuses while others idle: what it foresees
-        // from few visits may be double the truth. May do harm by late answers where all are overloaded.
         // What it takes by itself is no queue: guards against long prompts refused whatever the load.
         const Millis pace = std::min(quick_[reading].value, usual(reading, r).value());
         const Millis room = std::max(aim(r) - pace * fresh(r), kRoomLeast * aim(r));
         const Millis queue = wait(r) - pace * std::min(fresh(r), fresh_);
+        // Guards against a gateway that met a jammed server and refuses while others idle: what it foresees
+        // from few visits may be double the truth. May do harm by late answers where all are overloaded.
         return queue > (blind() ? kDoubt : 1) * room * (0.3 + 0.5 * value);
     }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -137,7 +137,7 @@
     void reset();                // closes with RST where the system can
     std::size_t queued() const;  // bytes written but not yet in the kernel's hands
     bool wrote() const;          // whether any byte was handed to the kernel
-    bool peer_closed() const;    // its FIN or reset has come, read or not; false if the system can't tell
+    bool peer_closed() const;    // its FIN or reset has come, read or not; also once the stream has ended
     Millis age() const;          // ms since the kernel last took bytes from the peer; 0 if it can't tell
     std::string peer() const;    // numeric address without the port
 
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -86,14 +86,18 @@
     driver_.catch_up();
     Request* r = find(handle);
     if (!r || r->closed) return;
-    ++counts_.gone;
-    tell(*r, Fate::gone);
-    r->client = nullptr;
-    close(*r);
+    left(*r);
     driver_.feed(ClientGone{std::to_string(handle)});
     if ((r = find(handle))) end_stream(*r, "the client left");
 }
 
+void Relay::left(Request& r) {
+    ++counts_.gone;
+    tell(r, Fate::gone);
+    r.client = nullptr;
+    close(r);
+}
+
 void Relay::client_congested(std::uint64_t handle, bool congested) {
     Request* r = find(handle);
     if (!r || r->congested == congested) return;
@@ -148,15 +152,11 @@
     Try t;
     t.server = a.server;
     t.sent = t.heard = now;
-    t.limit = a.limit;
     t.time = driver_.begin(a.limit, r->deadline);
     // Guards against attempts for a client that has gone, whose close waits behind other work: behind its own
     // request, in the same turn of the loop, or in a long turn. Costs one system call an attempt.
     if (!r->closed && r->client && r->client->has_left()) {
-        ++counts_.gone;
-        tell(*r, Fate::gone);
-        r->client = nullptr;
-        close(*r);
+        left(*r);
     }
     // Guards against a send by an older list, and after the end.
     if (!may_send(a.server) || r->closed) {
@@ -187,10 +187,10 @@
     request.append(r->in.head);
     // Guards against a server that is told more time than is left: the connection may take long to come up.
     t.attempt->on_stamp = [this, handle, n, at = request.size()](std::string& text) {
-        const Request* it = find(handle);
         const Try* own = find_try(find(handle), n);
         if (!own) return;
-        const Millis until = std::min(own->limit > 0 ? own->sent + own->limit : it->deadline, it->deadline);
+        const decide::AttemptTime& time = own->time;
+        const Millis until = time.limit > 0 ? std::min(time.sent + time.limit, time.end) : time.end;
         const auto left = static_cast<long long>(std::max(1.0, until - ports_.now()));
         text.insert(at, "x-remaining: " + std::to_string(left) + "m\r\n");
     };
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -92,7 +92,6 @@
         ServerId server = 0;
         bool read = false, out = true, first = false;
         Millis sent = 0, heard = 0, ended = 0;
-        Millis limit = 0;  // as the Router set it
         Result result = Result::served;
         decide::AttemptTime time;
     };
@@ -147,6 +146,7 @@
     void first(std::uint64_t handle, int attempt, std::string_view events);
     void more(std::uint64_t handle, int attempt, std::string_view events);
     void over(std::uint64_t handle, int attempt, const Ending& e);
+    void left(Request& r);  // its client has gone
     void close(Request& r);
     void tell(const Request& r, std::optional<Fate> fate);
     void due(const Driver::Alarm& a);
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -1,6 +1,7 @@
 #include "platform/watch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gorsenotch::platform {
 namespace {
@@ -17,9 +18,7 @@
                [this] {
                    if (!call_) return;
                    // It may only be late: it stays until another one has answered.
-                   call_->overdue = true;
-                   if (!told_ && on_fault) on_fault("no answer in time");
-                   told_ = true;
+                   tell("no answer in time");
                    if (!successor_) begin();
                }),
       retry_(loop,
@@ -99,17 +98,13 @@
         retry_.stop();
     }
     if (!call.parser->keep_alive) return fault(call, "");
-    call.overdue = false;
     overdue_.after_look(config_.hold + config_.slack);
     ask(call, false);
 }
 
 // What is held goes on; the next try is soon, as what discovery has to tell counts as told.
 void Watch::fault(Call& call, const std::string& why) {
-    if (!told_ && !why.empty()) {
-        told_ = true;
-        if (on_fault) on_fault(why);
-    }
+    if (!why.empty()) tell(why);
     if (&call == successor_.get()) {
         drop(successor_);
         return begin_soon();
@@ -119,6 +114,11 @@
     if (!successor_) begin_soon();
 }
 
+void Watch::tell(const std::string& why) {
+    if (std::exchange(told_, true)) return;
+    if (on_fault) on_fault(why);
+}
+
 void Watch::drop(std::unique_ptr<Call>& call) {
     if (!call) return;
     call->stream.reset();
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -44,7 +44,6 @@
         std::unique_ptr<net::Stream> stream;
         std::unique_ptr<http::Parser> parser;
         std::string address, body;
-        bool overdue = false;
     };
     void begin();       // a successor, now
     void begin_soon();  // after a pause
@@ -52,6 +51,7 @@
     void data(Call& call, std::string_view bytes);
     void answer(Call& call);
     void fault(Call& call, const std::string& why);
+    void tell(const std::string& why);
     void drop(std::unique_ptr<Call>& call);
 
     net::Loop& loop_;
