Repeats stay in their group and window to the last byte; a stop's answers come from the module

Change: usable() holds reads to group and window, with the dial time left over. An Attempt names the time by which its bytes may go out (send_by); the relay asks right before the first byte for all that may have changed since: client still there (also where its close lies unread), request open, server healthy, time and window left. An attempt called off before its last byte was handed over never ran (not_sent). Shutdown is an event: what has not begun is refused or failed by what its attempts may have done; the relay's second rule by class alone is gone. Times around releases are parts of the time that the settings allow (350 ms was longer than a setting of 300).

Checks: the checker's exemption for reads is out (stricter).

--- a/include/gorsenotch/logic.h
+++ b/include/gorsenotch/logic.h
@@ -164,14 +164,18 @@
     std::uint64_t label = 0;
 };
 
-using Event = std::variant<Arrival, Outcome, FirstToken, PlaceNote, ClientGone, ListEvent, ProbeResult, Due>;
+struct Shutdown {};  // the host is about to end: every request without an answer gets its final one at once
+
+using Event =
+    std::variant<Arrival, Outcome, FirstToken, PlaceNote, ClientGone, ListEvent, ProbeResult, Due, Shutdown>;
 
 // ---- actions --------------------------------------------------------------------------------------------
 
 struct Attempt {  // send the request; attempts of a request count from 0
     RequestId request;
     ServerId server = 0;
-    Millis limit = 0;  // time-out of this attempt; 0: until the client leaves
+    Millis limit = 0;    // time-out of this attempt; 0: until the client leaves
+    Millis send_by = 0;  // clock time after which no byte of it may go out (its Outcome: not_sent); 0: none
 };
 struct StopAttempt {
     RequestId request;
--- a/src/decide/departure.h
+++ b/src/decide/departure.h
@@ -25,7 +25,7 @@
     // them.
     bool depart(Millis now) const { return now >= depart_; }
     // Whether what has not begun is to be given its answer now.
-    bool refuse_rest(Millis now) const { return now >= end_; }
+    bool answer_rest(Millis now) const { return now >= end_; }
 
 private:
     Millis begin_, depart_, end_, last_;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,8 +45,11 @@
 constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
 constexpr double kRateSpan = 3000;   // ms over which rates are averaged
+constexpr double kTransit = 0.5;     // part of the dial time-out within which what is sent has arrived
 constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
 
+constexpr Millis kNever = 1e18;
+
 enum Stage { reading = 0, waiting = 1, streaming = 2 };
 
 // A decayed event rate, per ms.
@@ -93,8 +96,8 @@
 struct Server {
     ServerEntry entry;
     Role role = Role::both;
-    Millis listed = 0;          // by the latest list that had it
-    Millis cold_since = -1e18;  // when it last started, as listed or as concluded from a return
+    Millis listed = 0;            // by the latest list that had it
+    Millis cold_since = -kNever;  // when it last started, as listed or as concluded from a return
     // own load
     std::array<int, 3> out{};  // attempts out by stage
     double to_read = 0;        // own reads out, in thousands of tokens not expected to be kept there
@@ -102,7 +105,7 @@
     std::deque<std::pair<Millis, double>> ghosts;  // given up on, but perhaps still worked at: until, tokens
     // reports
     double others = 0;  // tokens held for others by the latest report
-    Millis heard = -1e18;
+    Millis heard = -kNever;
     double memory_share = -1;
     // health
     double errors = 0;
@@ -112,7 +115,7 @@
     Millis retry_at = 0, pause = 0, suspected = 0;
     double allow = 0;            // requests out at once while suspect
     std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
-    Millis full_until = -1e18, answered = -1e18;
+    Millis full_until = -kNever, answered = -kNever;
     Rate sends;
     std::deque<Millis> recent;  // sends within the fall window
 
@@ -251,7 +254,7 @@
         Request& r = it->second;
         if (Server* s = find(r.server)) {
             quicken(r, true);
-            s->failed[cls(r)] = -1e18;
+            s->failed[cls(r)] = -kNever;
             sample(*s, r, waiting);
             move(*s, r, streaming);
         }
@@ -286,8 +289,8 @@
                 s.suspect = s.was_down = false;
                 s.errors = 0;
                 s.slow = {};
-                s.failed.assign(s_.classes.size(), -1e18);
-                s.others = 0, s.heard = -1e18, s.memory_share = -1;
+                s.failed.assign(s_.classes.size(), -kNever);
+                s.others = 0, s.heard = -kNever, s.memory_share = -1;
                 if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
             }
             s.entry = entry, s.listed = now_;
@@ -309,6 +312,15 @@
         end(r);
     }
 
+    // Who may be refused and who has to be failed is decided here, as the attempts are known here.
+    void on(const Shutdown&) {
+        std::vector<RequestId> unanswered;
+        for (const auto& [id, request] : requests_) {
+            if (!request.ended) unanswered.push_back(id);
+        }
+        for (const auto& id : unanswered) end(requests_.at(id));
+    }
+
     // ---- a request's way ------------------------------------------------------------------------------
 
     // Sends the request to its next stage, or ends it.
@@ -355,7 +367,7 @@
         s.sends.add(now_);
         s.recent.push_back(now_);
         prune(s);
-        act(Attempt{r.a.request, s.entry.server, limit(r, stage)});
+        act(Attempt{r.a.request, s.entry.server, limit(r, stage), std::min(r.a.deadline, repeat_until(r))});
     }
 
     // How long to wait for this attempt. Guards against silence: a request at a dead server must still reach
@@ -483,7 +495,7 @@
             if (now_ - s->heard < kRateSpan) known += s->others / memory(*s), ++heard;
         }
         std::vector<double> load;
-        double least = 1e18, sum = 0;
+        double least = kNever, sum = 0;
         for (Server* s : fit) {
             const bool fresh = now_ - s->heard < kRateSpan;
             const double others = fresh ? s->others / memory(*s) : heard > 0 ? known / heard : 0;
@@ -597,12 +609,15 @@
     bool usable(Server& s, const Request& r, bool strict) {
         if (s.entry.mode != Mode::healthy) return false;
         if (!cold_room(s, r)) return false;
-        if (r.may_have_run && s_.classes[cls(r)].effect == Effect::by_key && s.writes()) {
-            const ClassSettings& c = s_.classes[cls(r)];
+        // Guards against a repeat that reaches a server which does not drop it: outside the group, or after
+        // the window has closed while the connection came up. Holds for reads too, as they are sends.
+        if (now_ + s_.dial_timeout >= repeat_until(r)) return false;
+        if (repeats_by_key(r)) {
+            const Group group = s_.classes[cls(r)].group;
             const Server* ran = find(r.ran_at);
-            if (!ran || now_ - r.ran_sent >= c.window) return false;
-            if (c.group == Group::zone && ran->entry.zone != s.entry.zone) return false;
-            if (c.group == Group::cell && ran->entry.cell != s.entry.cell) return false;
+            if (!ran && group != Group::all) return false;
+            if (group == Group::zone && ran->entry.zone != s.entry.zone) return false;
+            if (group == Group::cell && ran->entry.cell != s.entry.cell) return false;
         }
         if (!strict) return true;
         // Guards against a request spent on one server that, sick or full, looks idle from here.
@@ -615,6 +630,16 @@
         return now_ >= s.retry_at && s.total() < s.allow;
     }
 
+    bool repeats_by_key(const Request& r) const {
+        return r.may_have_run && s_.classes[cls(r)].effect == Effect::by_key;
+    }
+
+    // When the last byte of a further attempt may be sent at the latest.
+    Millis repeat_until(const Request& r) const {
+        if (!repeats_by_key(r)) return kNever;
+        return r.ran_sent + s_.classes[cls(r)].window - kTransit * s_.dial_timeout;
+    }
+
     bool has_room(const Server& s) const { return s.memory_share < kNearFull; }
 
     // Guards against a cold server being pushed over by all gateways together. Each sends it a share of what
@@ -657,7 +682,7 @@
         switch (o.result) {
             case Result::served:
             case Result::read_done:
-                s.answered = now_, s.failed[cls(r)] = -1e18, s.broken = false;
+                s.answered = now_, s.failed[cls(r)] = -kNever, s.broken = false;
                 if (o.result == Result::read_done) sample(s, r, reading);
                 if (r.stage == streaming) sample(s, r, streaming);
                 s.errors *= 1 - kErrorStep;
@@ -886,14 +911,14 @@
     // The wait for a first token that is to be expected now: behind the shortest own read queue, then behind
     // all own requests still before a stream, those being read among them, as they will join those.
     Millis wait(const Request& r) {
-        double to_read = 1e18, ahead = 0, writers = 0;
+        double to_read = kNever, ahead = 0, writers = 0;
         for (auto& [id, s] : servers_) {
             ahead += s.out[waiting] + s.out[reading];
             if (!usable(s, r, true)) continue;
             if (s.reads()) to_read = std::min(to_read, s.to_read);
             if (s.writes()) ++writers;
         }
-        if (to_read > 1e17) to_read = 0;
+        if (to_read >= kNever) to_read = 0;
         if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
         const Millis write = usual(waiting, r).value();
         // A queue is as long for a long prompt as for a usual one.
@@ -971,7 +996,7 @@
     Millis now_ = 0;
     std::vector<Action>* actions_ = nullptr;
     bool ticking_ = false;
-    Millis asked_ = 0, checked_ = 0, tick_due_ = 0, min_aim_ = 1e18;
+    Millis asked_ = 0, checked_ = 0, tick_due_ = 0, min_aim_ = kNever;
     double max_worth_ = 1e-9;
     std::map<ServerId, Server> servers_;
     std::map<std::uint64_t, Cell> cells_;
--- a/src/platform/attempt.cpp
+++ b/src/platform/attempt.cpp
@@ -109,7 +109,9 @@
 void Attempt::give_up(Result result, const char* why) {
     spoilt_ = true;
     // What never left whole never ran, however it ended.
-    finish(result == Result::late && !sent_ ? Result::unreachable : result, 0, why);
+    if (!handed_ && result == Result::late) result = Result::unreachable;
+    if (!handed_ && result == Result::cancelled) result = Result::not_sent;
+    finish(result, 0, why);
 }
 
 void Attempt::finish(Result result, double note, const char* why) {
--- a/src/platform/attempt.h
+++ b/src/platform/attempt.h
@@ -28,7 +28,7 @@
 public:
     enum class Kind { read, write, call };  // call: to hold a place or let go; every answer is its end
 
-    std::function<bool()> on_go;                 // whether it may still be sent
+    std::function<bool()> on_go;                 // whether it may still be sent; asked before its first byte
     std::function<void(std::string&)> on_stamp;  // the request, right before its first byte goes out
     std::function<void()> on_handed;
     std::function<void(std::string_view)> on_first, on_more;
@@ -40,7 +40,7 @@
     void stamp(std::string& request) override {
         if (on_stamp) on_stamp(request);
     }
-    void sent() override { sent_ = true; }
+    void sent() override {}
     void handed() override;
     void data(std::string_view bytes) override;
     void ended() override;
@@ -65,7 +65,7 @@
     http::Parser parser_;
     std::string body_;  // of a whole answer, or the beginning of the first event
     int status_ = 0, interim_ = 0;
-    bool sent_ = false, handed_ = false, begun_ = false, over_ = false;
+    bool handed_ = false, begun_ = false, over_ = false;
     bool stream_ = false, clean_ = false, spoilt_ = false, turned_away_ = false;
 };
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -150,7 +150,7 @@
     if (!quiet && !departure_->depart(now) && relay_.streams() == 0) return;
     if (quiet || departure_->depart(now)) clients_.depart();
     if (config_.named.settings.resume) relay_.hand_back(departure_->hand_back(now, relay_.streams()));
-    if (departure_->refuse_rest(now)) relay_.refuse_rest();
+    if (departure_->answer_rest(now)) relay_.shutdown();
     if (relay_.open() == 0 && relay_.releases() == 0 && clients_.connections() == 0) {
         status();
         drainer_.stop();
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -11,9 +11,10 @@
 // A begun stream whose server says nothing for so long is broken. Below the 5 s within which a client must
 // see its end, above what a server eight times too slow takes for a few tokens.
 constexpr Millis kSilence = 4000;
-constexpr Millis kReleaseTry = 150;      // for a release to be answered, before another server is asked
+// Parts of the time that the settings allow for a release: for a call to be answered before another server is
+// asked, until the second release after a read was cut off, and beyond it for the last calls.
+constexpr double kReleaseTry = 0.15, kReleaseAgain = 0.35, kReleaseOver = 0.2;
 constexpr std::size_t kReleaseMost = 4;  // calls begun in one try
-constexpr Millis kReleaseAgain = 350;    // after a read was cut off, until the second release
 
 // A call without a body about what is held for a request.
 std::string room_call(const char* method, const std::string& txn, const std::string& dial) {
@@ -61,6 +62,20 @@
     return host && host->entry.mode == Mode::healthy;
 }
 
+// Guards against an attempt that was right when it was decided and is wrong when its connection is up: the
+// client has gone (its close may wait unread behind other work), the request has its answer, the server
+// drains, the time or the window for repeats is over. Covers every wait between decision and first byte.
+// Costs one system call each time.
+bool Relay::may_begin(std::uint64_t handle, ServerId server, Millis send_by) {
+    Request* r = find(handle);
+    if (!r || r->closed) return false;
+    if (r->client && r->client->has_left()) {
+        left(*r);
+        return false;
+    }
+    return may_send(server) && (send_by <= 0 || ports_.now() < send_by);
+}
+
 // ---- what comes in --------------------------------------------------------------------------------------
 
 void Relay::list(ListEvent e) { driver_.feed(std::move(e)); }
@@ -153,13 +168,7 @@
     t.server = a.server;
     t.sent = t.heard = now;
     t.time = driver_.begin(a.limit, r->deadline);
-    // Guards against attempts for a client that has gone, whose close waits behind other work: behind its own
-    // request, in the same turn of the loop, or in a long turn. Costs one system call an attempt.
-    if (!r->closed && r->client && r->client->has_left()) {
-        left(*r);
-    }
-    // Guards against a send by an older list, and after the end.
-    if (!may_send(a.server) || r->closed) {
+    if (!may_begin(handle, a.server, a.send_by)) {
         t.out = false;
         r->tries.push_back(std::move(t));
         Outcome o;
@@ -170,9 +179,9 @@
     }
     t.read = named_.settings.kinds[static_cast<std::size_t>(host->entry.kind)].role == Role::read;
     t.attempt = std::make_shared<Attempt>(t.read ? Attempt::Kind::read : Attempt::Kind::write);
-    // Looked at again before the first byte: a drain may have been told while the connection came up.
-    const ServerId server = a.server;
-    t.attempt->on_go = [this, server] { return may_send(server); };
+    t.attempt->on_go = [this, handle, server = a.server, by = a.send_by] {
+        return may_begin(handle, server, by);
+    };
     t.attempt->on_handed = [this, handle, n] {
         if (Try* it = find_try(find(handle), n)) driver_.handed(it->time);
     };
@@ -243,13 +252,18 @@
     const std::uint64_t id = ++last_;
     Release& l = releases_[id];
     l.txn = r.in.txn, l.holder = r.holder, l.again = r.uncertain;
-    l.until = ports_.now() + named_.settings.release_within + 200;
+    l.until = ports_.now() + (1 + kReleaseOver) * release_time();
     r.uncertain = false;
     r.release = id;
     ++counts_.release;
     try_release(id);
 }
 
+Millis Relay::release_time() const {
+    constexpr Millis kUnset = 1000;
+    return named_.settings.release_within > 0 ? named_.settings.release_within : kUnset;
+}
+
 // Any server takes it for all: first the one that is thought to hold something, if it answered of late, then
 // those that did.
 void Relay::try_release(std::uint64_t id) {
@@ -262,8 +276,8 @@
         return end_release(id);
     }
     if (now + 0.5 < l.next) return;  // an alarm of an earlier try
-    l.next = now + kReleaseTry;
-    driver_.alarm(Kind::release, now + kReleaseTry, nullptr, 0, id, true);
+    l.next = now + kReleaseTry * release_time();
+    driver_.alarm(Kind::release, l.next, nullptr, 0, id, true);
     // As many at once as went unanswered: when most servers are silent, one by one would take longer than is
     // allowed.
     const std::size_t at_once = std::clamp<std::size_t>(l.asked.size(), 1, kReleaseMost);
@@ -308,8 +322,8 @@
         at->second.told = true;
         if (!at->second.again || at->second.withdrawn) return end_release(id);
         at->second.again = false;
-        at->second.next = ports_.now() + kReleaseAgain;
-        at->second.until = at->second.next + named_.settings.release_within;
+        at->second.next = ports_.now() + kReleaseAgain * release_time();
+        at->second.until = at->second.next + release_time();
         at->second.asked.clear();
         driver_.alarm(Kind::release, at->second.next, nullptr, 0, id, false);
     };
@@ -490,22 +504,6 @@
     }
 }
 
-void Relay::refuse_rest() {
-    std::vector<std::uint64_t> handles;
-    for (const auto& [handle, r] : requests_) {
-        if (!r.closed && !begun(r)) handles.push_back(handle);
-    }
-    for (const auto handle : handles) {
-        Request* r = find(handle);
-        if (!r || r->closed) continue;
-        const bool harmless =
-            named_.settings.classes[static_cast<std::size_t>(r->in.arrival.cls)].effect == Effect::repeatable;
-        ++(harmless ? counts_.refused : counts_.failed);
-        final(*r, harmless ? 503 : 502, 0, "stopping");
-        driver_.feed(ClientGone{std::to_string(handle)});
-    }
-}
-
 void Relay::due(const Driver::Alarm& a) {
     if (a.kind == Kind::release) return try_release(a.label);
     Request* r = a.owner;
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -70,10 +70,11 @@
     void client_congested(std::uint64_t handle, bool congested);
 
     // For a gateway that stops. Streams that have begun and not ended; the latest `n` of them are handed back
-    // to their clients, which ask for the rest elsewhere; what has not begun gets its answer.
+    // to their clients, which ask for the rest elsewhere.
     std::size_t streams() const;
     void hand_back(std::size_t n);
-    void refuse_rest();
+    // Whatever has not begun gets its final answer now; which one is the Router's to say.
+    void shutdown() { driver_.feed(Shutdown{}); }
 
     Millis tick() { return driver_.tick(); }
     void sleeps(Millis due) { driver_.sleeps(due); }
@@ -130,10 +131,13 @@
     static bool busy(const Request& r);   // an attempt is out
     static bool begun(const Request& r);  // its stream has; no attempt follows that one
     bool may_send(ServerId server);       // by the latest list
+    // Whether an attempt may begin now: asked when it is decided and again before its first byte.
+    bool may_begin(std::uint64_t handle, ServerId server, Millis send_by);
     void start(const gorsenotch::Attempt& a);
     void stop(Try& t, Result result, const char* why);
     void hold(const HoldPlace& a);
     void drop(Request& r);
+    Millis release_time() const;  // that the settings allow; a second where they name none
     void try_release(std::uint64_t id);
     void end_release(std::uint64_t id);
     void withdraw_release(std::uint64_t id);
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -63,6 +63,9 @@
             },
             [](const Due& d) -> Json {
                 return {{"e", "due"}, {"l", d.label}};
+            },
+            [](const Shutdown&) -> Json {
+                return {{"e", "shutdown"}};
             }},
         event);
 }
@@ -127,48 +130,52 @@
     if (e == "probe")
         return ProbeResult{whole<ServerId>(j.at("s")), j.at("good"), j.at("took"), report_of(j.at("load"))};
     if (e == "due") return Due{whole<std::uint64_t>(j.at("l"))};
+    if (e == "shutdown") return Shutdown{};
     throw std::runtime_error("unknown event '" + e + "'");
 }
 
 Json action_json(const Action& action) {
-    return std::visit(
-        Overloaded{[](const Attempt& a) -> Json {
-                       return {{"a", "attempt"}, {"r", a.request}, {"s", a.server}, {"limit", a.limit}};
-                   },
-                   [](const StopAttempt& a) -> Json {
-                       return {{"a", "stop"}, {"r", a.request}, {"n", a.attempt}};
-                   },
-                   [](const HoldPlace& a) -> Json {
-                       return {{"a", "hold"}, {"r", a.request}, {"s", a.server}};
-                   },
-                   [](const DropState& a) -> Json {
-                       return {{"a", "drop"}, {"r", a.request}};
-                   },
-                   [](const Refuse& a) -> Json {
-                       return {{"a", "refuse"}, {"r", a.request}, {"pause", a.pause}};
-                   },
-                   [](const Fail& a) -> Json {
-                       return {{"a", "fail"}, {"r", a.request}};
-                   },
-                   [](const MoveStream& a) -> Json {
-                       return {{"a", "move"}, {"r", a.request}};
-                   },
-                   [](const Probe& a) -> Json {
-                       return {{"a", "probe"}, {"s", a.server}};
-                   },
-                   [](const SetTimer& a) -> Json {
-                       return {{"a", "timer"}, {"l", a.label}, {"at", a.at}};
-                   },
-                   [](const Subscribe&) -> Json {
-                       return {{"a", "subscribe"}};
-                   },
-                   [](const FetchList&) -> Json {
-                       return {{"a", "fetch"}};
-                   },
-                   [](const Log& a) -> Json {
-                       return {{"a", "log"}, {"text", a.text}};
-                   }},
-        action);
+    return std::visit(Overloaded{[](const Attempt& a) -> Json {
+                                     return {{"a", "attempt"},
+                                             {"r", a.request},
+                                             {"s", a.server},
+                                             {"limit", a.limit},
+                                             {"by", a.send_by}};
+                                 },
+                                 [](const StopAttempt& a) -> Json {
+                                     return {{"a", "stop"}, {"r", a.request}, {"n", a.attempt}};
+                                 },
+                                 [](const HoldPlace& a) -> Json {
+                                     return {{"a", "hold"}, {"r", a.request}, {"s", a.server}};
+                                 },
+                                 [](const DropState& a) -> Json {
+                                     return {{"a", "drop"}, {"r", a.request}};
+                                 },
+                                 [](const Refuse& a) -> Json {
+                                     return {{"a", "refuse"}, {"r", a.request}, {"pause", a.pause}};
+                                 },
+                                 [](const Fail& a) -> Json {
+                                     return {{"a", "fail"}, {"r", a.request}};
+                                 },
+                                 [](const MoveStream& a) -> Json {
+                                     return {{"a", "move"}, {"r", a.request}};
+                                 },
+                                 [](const Probe& a) -> Json {
+                                     return {{"a", "probe"}, {"s", a.server}};
+                                 },
+                                 [](const SetTimer& a) -> Json {
+                                     return {{"a", "timer"}, {"l", a.label}, {"at", a.at}};
+                                 },
+                                 [](const Subscribe&) -> Json {
+                                     return {{"a", "subscribe"}};
+                                 },
+                                 [](const FetchList&) -> Json {
+                                     return {{"a", "fetch"}};
+                                 },
+                                 [](const Log& a) -> Json {
+                                     return {{"a", "log"}, {"text", a.text}};
+                                 }},
+                      action);
 }
 
 class Journal : public Witness {
--- a/tests/checker.cpp
+++ b/tests/checker.cpp
@@ -81,7 +81,7 @@
         for (const Try& t : r.tries) {
             if (t.proven_not_run) continue;
             if (c.effect == Effect::once) breach(now, "twice: a once request sent again");
-            if (c.effect != Effect::by_key || role(a->server) == Role::read) continue;
+            if (c.effect != Effect::by_key) continue;
             const ServerEntry& ran = servers_.at(t.server).entry;
             if (now - t.sent > c.window) breach(now, "twice: sent again after the window");
             if (c.group == Group::zone && ran.zone != to.zone) breach(now, "twice: sent to another zone");
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -390,6 +390,93 @@
     EXPECT_EQ(bench->all<Attempt>().at(0).server, w == 11 ? 13u : 11u);
 }
 
+TEST_F(Guards, AKeyedRequestIsReadAnewInItsGroupOnly) {
+    Settings s = plain_settings();
+    s.classes[0].effect = Effect::by_key;
+    s.classes[0].group = Group::zone;
+    s.classes[0].window = 5000;
+    start(s, {reader(1, 0), writer(11, 1), reader(2, 0), reader(3, 0)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    bench->feed(30, outcome("a", 1, 11, Result::reset));
+    ASSERT_EQ(bench->all<Attempt>().size(), 1u);
+    Outcome no_state = outcome("a", 2, 11, Result::full);
+    no_state.note = 1;
+    bench->feed(40, no_state);
+    EXPECT_TRUE(bench->all<Attempt>().empty()) << "a read is a send, and no reader is in the writer's zone";
+    EXPECT_EQ(bench->all<Fail>().size(), 1u);
+    EXPECT_TRUE(bench->checker.breaches.empty()) << bench->checker.breaches[0];
+}
+
+TEST_F(Guards, AKeyedRequestIsNotRepeatedWhereItsWindowMayCloseOnTheWay) {
+    Settings s = plain_settings();
+    s.classes[0].effect = Effect::by_key;
+    s.classes[0].window = 1000;
+    s.dial_timeout = 250;
+    for (const Millis reset_at : {600.0, 700.0}) {
+        start(s, {reader(1), reader(2), writer(11), writer(12)});
+        const ServerId r = read_at("a", 10);
+        bench->feed(20, outcome("a", 0, r, Result::read_done));
+        const ServerId w = bench->all<Attempt>().at(0).server;
+        bench->feed(reset_at, outcome("a", 1, w, Result::reset));
+        if (reset_at < 650) {
+            ASSERT_EQ(bench->all<Attempt>().size(), 1u);
+            const Millis send_by = bench->all<Attempt>()[0].send_by;
+            EXPECT_GT(send_by, reset_at);
+            EXPECT_LE(send_by, 20 + 1000 - 0.5 * 250) << "its bytes need time to arrive";
+        } else {
+            EXPECT_TRUE(bench->all<Attempt>().empty());
+            EXPECT_EQ(bench->all<Refuse>().size(), 1u)
+                << "all servers drop its repeats, so it may come again";
+        }
+        EXPECT_TRUE(bench->checker.breaches.empty());
+    }
+}
+
+TEST_F(Guards, AShutdownRefusesWhatNeverRanAndFailsWhatMayHaveRun) {
+    struct Case {
+        Effect effect;
+        Group group;
+        bool refused_unsent, refused_sent;
+    };
+    const Case cases[] = {{Effect::repeatable, Group::all, true, true},
+                          {Effect::by_key, Group::all, true, true},
+                          {Effect::by_key, Group::cell, true, false},
+                          {Effect::once, Group::all, true, false}};
+    for (const Case& c : cases) {
+        Settings s = plain_settings();
+        s.classes[0].effect = c.effect, s.classes[0].group = c.group, s.classes[0].window = 5000;
+        start(s, {reader(1), reader(2), writer(11), writer(12)});
+        // One was read and its connection to the writer did not come up; one waits for the writer's answer.
+        const ServerId unsent = read_at("unsent", 10);
+        const ServerId sent = read_at("sent", 11);
+        bench->feed(20, outcome("sent", 0, sent, Result::read_done));
+        bench->feed(21, outcome("unsent", 0, unsent, Result::reset));
+        const auto again = bench->all<Attempt>();
+        ASSERT_EQ(again.size(), 1u);
+        bench->feed(22, outcome("unsent", 1, again[0].server, Result::full));
+        bench->feed(30, Shutdown{});
+        const auto refused = [this](const RequestId& id) {
+            const auto all = bench->all<Refuse>();
+            return std::any_of(all.begin(), all.end(), [&](const Refuse& r) { return r.request == id; });
+        };
+        EXPECT_EQ(bench->all<Refuse>().size() + bench->all<Fail>().size(), 2u);
+        EXPECT_EQ(refused("sent"), c.refused_sent);
+        EXPECT_TRUE(bench->checker.breaches.empty()) << bench->checker.breaches[0];
+        bench->feed(31, Shutdown{});
+        EXPECT_EQ(bench->all<Refuse>().size() + bench->all<Fail>().size(), 0u) << "one answer each";
+    }
+}
+
+TEST_F(Guards, AShutdownLeavesStreamsThatHaveBegun) {
+    start(plain_settings(), {reader(1), writer(11)});
+    const ServerId r = read_at("a", 10);
+    bench->feed(20, outcome("a", 0, r, Result::read_done));
+    bench->feed(30, FirstToken{"a", 1, 11, 5});
+    bench->feed(40, Shutdown{});
+    EXPECT_TRUE(bench->actions.empty());
+}
+
 TEST_F(Guards, WhereTheListMustBeAskedForItIs) {
     Settings s = plain_settings();
     s.discovery = Discovery::ask;
--- a/tests/program/departure_test.cpp
+++ b/tests/program/departure_test.cpp
@@ -31,8 +31,8 @@
     EXPECT_FALSE(d.depart(2000));
     EXPECT_FALSE(d.depart(3100));
     EXPECT_TRUE(d.depart(3300));
-    EXPECT_FALSE(d.refuse_rest(3300));
-    EXPECT_TRUE(d.refuse_rest(3500));
+    EXPECT_FALSE(d.answer_rest(3300));
+    EXPECT_TRUE(d.answer_rest(3500));
 }
 
 // Found on the fleet bench: a stream taken 2.9 s after the order to stop was not done at the kill, 0.8 s
@@ -41,8 +41,8 @@
     const decide::Departure d(0, 3700, false);
     EXPECT_FALSE(d.depart(400)) << "new connections still come";
     EXPECT_TRUE(d.depart(650));
-    EXPECT_FALSE(d.refuse_rest(3300)) << "what was taken has its time";
-    EXPECT_TRUE(d.refuse_rest(3500));
+    EXPECT_FALSE(d.answer_rest(3300)) << "what was taken has its time";
+    EXPECT_TRUE(d.answer_rest(3500));
 }
 
 // Found on sockets: on a day on which kept connections were reset at the next request, 30% of those used
@@ -69,7 +69,7 @@
 TEST(Departure, NoTimeAtAllHandsAllBackAtOnce) {
     decide::Departure d(0, 0, true);
     EXPECT_EQ(d.hand_back(0, 7), 7u);
-    EXPECT_TRUE(d.refuse_rest(0));
+    EXPECT_TRUE(d.answer_rest(0));
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/program/platform_world.h
@@ -0,0 +1,151 @@
+// A world for tests of the platform's parts: a configuration, a client and ports that only note what is asked
+// of them, and a Relay between the two on a clock of the test's own.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "platform/config.h"
+#include "platform/relay.h"
+
+namespace gorsenotch::test {
+
+using namespace gorsenotch::platform;
+
+inline const char* const kConfig = R"({"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:8500",
+ "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":64,"sockets":512},
+ "known":{"seq":4,"whole":true,"hosts":[
+  {"host":"r1","dial":"10.0.0.1:1","site":"a","class":"prefill","block":1,"health":"up","share":1.0,"born_ms":0},
+  {"host":"r2","dial":"10.0.0.2:1","site":"a","class":"prefill","block":1,"health":"up","share":1.0,"born_ms":0},
+  {"host":"w1","dial":"10.0.0.3:1","site":"a","class":"decode","block":1,"health":"up","share":1.0,"born_ms":0}]},
+ "settings":{"Azs":["a","b"],"Zone":"b","Balancers":2,"Flavors":["prefill","decode"],
+  "FamilyInfo":{"RoleByKind":["read","write"],"KindMemoryTokens":[200000,150000],"LetGoByMs":1000.0,
+   "Resume":true,"Ahead":true,"TokenAimMs":[60.0,50.0],"AimUsPer1000PromptTokens":[40000.0,60000.0]},
+  "Ceilings":{"AttemptsCap":6,"Cancel":true,"DialTimeoutMs":250.0,"IdleCloseMs":15000.0},
+  "Lanes":[{"Name":"chat","SloMs":1500.0,"DeadlineMs":6000.0,"Importance":3.0,"Effect":"repeatable"},
+           {"Name":"bulk job","SloMs":1000.0,"DeadlineMs":5000.0,"Effect":"once"}],
+  "Tenants":[{"Name":"acme","QuotaPerS":100.0}],"StepMs":4.0}})";
+
+inline std::string with(std::string text, const std::string& from, const std::string& to) {
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return at == std::string::npos ? text : text.replace(at, from.size(), to);
+}
+
+inline const std::string kStream =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+inline std::string chunked(const std::string& s) { return http::chunk(s); }
+
+struct PlatformClient : Client {
+    std::string events;
+    int begun = 0, ended = 0, status = 0;
+    bool cutoff = false, closed = false;  // closed: its connection, though nobody has read that yet
+    bool has_left() override { return closed; }
+    void begin(std::string_view e) override { ++begun, events.append(e); }
+    void more(std::string_view e) override { events.append(e); }
+    void done() override { ++ended; }
+    void cut() override { ++ended, cutoff = true; }
+    void final(int s, Millis, std::string_view) override { ++ended, status = s; }
+};
+
+struct PlatformWorld : Ports {
+    struct Sent {
+        std::string address, request;
+        std::shared_ptr<platform::Attempt> attempt;
+        bool closed = false;
+    };
+    Millis clock = 1000;
+    Millis dial = 0;          // how long connections take to come up
+    bool dials_wait = false;  // the test says itself when one has come up
+    std::vector<Sent> sent;
+    Millis now() override { return clock; }
+    void start(const std::string& address, std::string request,
+               std::shared_ptr<platform::Attempt> a) override {
+        if (dials_wait) return sent.push_back({address, std::move(request), std::move(a), false});
+        if (!a->may_go()) {
+            sent.push_back({address, "", a, true});
+            return a->not_sent();
+        }
+        clock += dial;
+        a->stamp(request);
+        a->sent();
+        a->handed();
+        sent.push_back({address, std::move(request), std::move(a), false});
+    }
+    void pause(const platform::Attempt&, bool) override {}
+    void close(const platform::Attempt& a) override {
+        for (auto& s : sent) s.closed |= s.attempt.get() == &a;
+    }
+    bool connected(const std::string&) override { return false; }
+    void log(const char*, const char*, const std::string&) override {}
+};
+
+struct RelayTest : ::testing::Test {
+    explicit RelayTest(const std::string& text = kConfig) : config(parse_config(text, "", "")) {}
+    Config config;
+    PlatformWorld world;
+    Hosts hosts{config.named, 0};
+    Relay relay{config.named, 1, hosts, world};
+    PlatformClient client;
+
+    void SetUp() override { list(config.known); }
+    void TearDown() override {
+        EXPECT_EQ(relay.open(), 0u);
+        EXPECT_EQ(relay.attempts_out(), 0u);
+        EXPECT_EQ(relay.releases(), 0u);
+    }
+    void list(const std::string& text) {
+        std::string why;
+        auto e = hosts.take(text, false, why);
+        ASSERT_TRUE(e) << why;
+        relay.list(std::move(*e));
+    }
+    std::uint64_t ask(const std::string& txn, PlatformClient& c, int cls = 0) {
+        Inbound in;
+        in.txn = txn, in.head = "POST /v1/chat/completions HTTP/1.1\r\nx-txn: " + txn + "\r\n",
+        in.body = "{}";
+        in.arrival.cls = cls, in.arrival.deadline = 5000, in.arrival.tenant = 0,
+        in.arrival.prompt_tokens = 100;
+        return relay.arrive(std::move(in), 0, &c);
+    }
+    void pass(Millis ms) {
+        for (const Millis until = world.clock + ms; world.clock < until;) {
+            world.clock += 5;
+            relay.looked(world.clock);
+            relay.tick();
+            relay.sleeps(world.clock + 5);
+        }
+    }
+    PlatformWorld::Sent& last() { return world.sent.back(); }
+    void answer(const std::string& bytes) { last().attempt->data(bytes); }
+    void read_done() { answer("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}"); }
+    std::size_t releases() const {
+        return static_cast<std::size_t>(
+            std::count_if(world.sent.begin(), world.sent.end(),
+                          [](const auto& s) { return s.request.rfind("DELETE /bootstrap/rooms/", 0) == 0; }));
+    }
+    void drain_writer(bool on = true) {
+        list(
+            std::string(
+                R"({"seq":9,"whole":false,"hosts":[{"host":"w1","dial":"10.0.0.3:1","site":"a","class":"decode",)") +
+            R"("block":1,"share":1.0,"born_ms":0,"health":")" + (on ? "draining" : "up") + "\"}]}");
+    }
+    // All releases are answered, the second ones too.
+    void settle() {
+        for (int i = 0; i < 2; ++i) {
+            for (std::size_t n = 0; n < world.sent.size(); ++n) {
+                auto& s = world.sent[n];
+                if (s.request.rfind("DELETE", 0) == 0 && !s.attempt->over())
+                    s.attempt->data("HTTP/1.1 204 No Content\r\n\r\n");
+            }
+            pass(400);
+        }
+    }
+    void release() {
+        ASSERT_EQ(last().request.rfind("DELETE /bootstrap/rooms/t1 ", 0), 0u) << last().request;
+        answer("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+};
+
+}  // namespace gorsenotch::test
