Clients: one way to end a connection; nothing that came before the end is lost, no reset after it

Closing the listener reset what the system had accepted and nobody had taken.

Change: end() and retire() are the only ways. A resting connection is looked at for bytes first; then FIN, reading and discarding within 0.5 s and 256 KiB (5 s while a slow client takes what was written), then the close. At most 16 that end stand beside those that serve. Before the listener goes, what the system has accepted is taken. Nothing read after the FIN is sent on.

Tests: tests/program/clients_test.cpp, over loopback with the peer's bytes in the kernel before the gateway acts.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -389,13 +389,16 @@
 std::size_t Stream::queued() const { return h_ ? h_->in_flight : 0; }
 bool Stream::wrote() const { return h_ && (h_->wrote || h_->in_flight > 0); }
 
-bool Stream::peer_closed() const {
+bool Stream::polled(short events) const {
     uv_os_fd_t fd = -1;
     if (!h_ || h_->ended || uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &fd) != 0) return true;
-    pollfd p{fd, POLLRDHUP, 0};
-    return ::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    pollfd p{fd, events, 0};
+    return ::poll(&p, 1, 0) > 0 && p.revents != 0;
 }
 
+bool Stream::peer_closed() const { return polled(POLLRDHUP); }
+bool Stream::unread() const { return polled(POLLIN | POLLRDHUP); }
+
 Millis Stream::age() const {
     uv_os_fd_t fd = -1;
     if (!h_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &fd) != 0) return 0;
@@ -458,6 +461,22 @@
     });
 }
 
+void Listener::take_pending() {
+    uv_os_fd_t listening = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &listening) != 0) return;
+    for (;;) {
+        const int fd = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) return;
+        auto stream = std::make_unique<Stream>(*h_->loop);
+        if (uv_tcp_open(&stream->h_->uv, fd) != 0) {
+            ::close(fd);
+            continue;
+        }
+        uv_tcp_nodelay(&stream->h_->uv, 1);
+        if (on_stream) on_stream(std::move(stream));
+    }
+}
+
 int Listener::port() const {
     sockaddr_storage a{};
     int size = sizeof a;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -138,12 +138,14 @@
     std::size_t queued() const;  // bytes written but not yet in the kernel's hands
     bool wrote() const;          // whether any byte was handed to the kernel
     bool peer_closed() const;    // its FIN or reset has come, read or not; also once the stream has ended
+    bool unread() const;         // bytes, an end or an error wait to be read; also once the stream has ended
     Millis age() const;          // ms since the kernel last took bytes from the peer; 0 if it can't tell
     std::string peer() const;    // numeric address without the port
 
 private:
     friend class Listener;
     struct Handle;
+    bool polled(short events) const;  // whether one of these, a hang-up or an error is there now
     Handle* h_;
 };
 
@@ -157,6 +159,9 @@
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
     int listen(const std::string& address, int backlog = 1024);
+    // Hands on the connections that the system has accepted and nobody has taken yet: before it is destroyed,
+    // as that would reset them.
+    void take_pending();
     int port() const;
 
 private:
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -8,6 +8,7 @@
 
 constexpr Millis kSweep = 100;
 constexpr Millis kLinger = 500;                 // a FIN goes out, and the client has so long to close as well
+constexpr Millis kUnsent = 5000;                // for a slow client to take what was written, before it
 constexpr std::size_t kAhead = 8 * 1024;        // bytes taken behind a request that is open
 constexpr std::size_t kDiscard = 256 * 1024;    // read and thrown away before a refused connection is cut
 constexpr std::size_t kCongested = 256 * 1024;  // unread bytes of an answer at which its server is paused
@@ -35,6 +36,9 @@
           stream(std::move(s)),
           parser(http::Parser::Kind::request, http::Limits{16 * 1024, 64, kMaxBody}) {}
 
+    // No request has begun on it: it may be ended.
+    bool resting() const { return state == State::reading && began == 0; }
+
     void write_out() {
         if (!out.empty()) stream->write(std::exchange(out, std::string()));
     }
@@ -93,44 +97,58 @@
 
 void Clients::depart() {
     draining_ = departing_ = true;
+    if (listener_) listener_->take_pending();
     listener_.reset();
     for (auto it = all_.begin(); it != all_.end();) {
         Conn& c = **it++;
-        if (c.state == Conn::State::reading && c.began == 0) erase(c);
+        if (c.resting()) retire(c);
     }
 }
 
-// The one that has said nothing for longest, else the one idle for longest: only such may be closed.
-bool Clients::make_room() {
-    if (all_.size() < config_.most) return true;
+Clients::Conn* Clients::longest_ending() {
+    Conn* longest = nullptr;
+    for (const auto& c : all_) {
+        if (c->state == Conn::State::ending && (!longest || c->since < longest->since)) longest = c.get();
+    }
+    return longest;
+}
+
+// The one that has said nothing for longest, else the one idle for longest: only such may be ended.
+Clients::Conn* Clients::longest_resting() {
+    constexpr Millis kLeastSilent = 100;  // a new connection's request may be on its way
     const Millis now = net::now();
     Conn *silent = nullptr, *idle = nullptr;
     for (const auto& c : all_) {
-        if (c->state == Conn::State::ending) {
-            silent = c.get();
-            break;
-        }
-        if (c->state != Conn::State::reading || c->began > 0) continue;
-        Conn*& pick = c->fresh ? silent : idle;
-        if (!c->fresh && now - c->since < config_.least_idle) continue;
-        if (c->fresh && now - c->since < 100) continue;
-        if (!pick || c->since < pick->since) pick = c.get();
+        if (!c->resting() || now - c->since < (c->fresh ? kLeastSilent : config_.least_idle)) continue;
+        Conn*& longest = c->fresh ? silent : idle;
+        if ((!longest || c->since < longest->since) && !c->stream->unread()) longest = c.get();
     }
-    if (!silent) silent = idle;
-    if (!silent) return false;
+    return silent ? silent : idle;
+}
+
+bool Clients::make_room() {
+    if (all_.size() >= config_.most + kEndingMost) {
+        if (Conn* longest = longest_ending()) erase(*longest);
+    }
+    if (all_.size() - ending_ < config_.most) return true;
+    Conn* resting = longest_resting();
+    if (!resting) return false;
     ++tally_.evicted;
-    erase(*silent);
-    return true;
+    return retire(*resting);
 }
 
 void Clients::accept(std::unique_ptr<net::Stream> stream) {
     ++tally_.accepted;
-    if (!make_room()) {
-        // Closed at once: nothing of it was read, so its client may come again.
-        ++tally_.refused;
-        stream->write("HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-        return;
-    }
+    const bool room = make_room();
+    Conn& c = adopt(std::move(stream));
+    if (room) return;
+    // Nothing of it is read, so its client may come again.
+    ++tally_.refused;
+    c.out = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    end(c);
+}
+
+Clients::Conn& Clients::adopt(std::unique_ptr<net::Stream> stream) {
     all_.push_back(std::make_unique<Conn>(*this, std::move(stream)));
     Conn& c = *all_.back();
     c.self = std::prev(all_.end());
@@ -144,11 +162,13 @@
     c.stream->on_data = [this, &c](std::string_view b) { data(c, b); };
     c.stream->on_end = [this, &c](int) { lose(c); };
     c.stream->on_drain = [this, &c] {
-        if (!c.paused || c.gone) return;
-        c.paused = false;
+        if (c.gone) return;
+        if (c.state == Conn::State::ending) c.since = net::now();
+        if (!std::exchange(c.paused, false)) return;
         if (c.handle) relay_.client_congested(c.handle, false);
     };
     c.stream->read(true);
+    return c;
 }
 
 void Clients::data(Conn& c, std::string_view bytes) {
@@ -161,7 +181,7 @@
         // Nobody may send ahead so much; what little comes waits for its turn.
         if (c.ahead.size() + bytes.size() > kAhead) {
             ++tally_.bad;
-            return lose(c);
+            return abandon(c);
         }
         c.ahead.append(bytes);
         return;
@@ -264,15 +284,25 @@
     if (c.gone || c.state == Conn::State::ending) return;
     c.write_out();
     c.state = Conn::State::ending;
+    ++ending_;
     c.since = net::now();
     c.ahead = std::string(), c.in.reset();
     release(c);
     c.stream->shut();
 }
 
+// Guards against a request that is lost because its connection is ended in the moment in which it comes: a
+// request that has come already is served. One that comes later finds the FIN, and its client sends it again.
+bool Clients::retire(Conn& c) {
+    if (c.stream->unread()) return false;
+    end(c);
+    return true;
+}
+
 void Clients::erase(Conn& c) {
     if (c.gone) return;
     c.gone = true;
+    if (c.state == Conn::State::ending) --ending_;
     release(c);
     if (c.dirty) std::erase(dirty_, &c);
     c.stream.reset();
@@ -287,6 +317,12 @@
     if (handle) relay_.client_gone(handle);
 }
 
+void Clients::abandon(Conn& c) {
+    const std::uint64_t handle = std::exchange(c.handle, 0);
+    end(c);
+    if (handle) relay_.client_gone(handle);
+}
+
 void Clients::release(Conn& c) {
     bytes_ -= c.held;
     c.held = 0;
@@ -321,7 +357,7 @@
         Conn& c = **it++;
         if (c.state == Conn::State::open) continue;
         if (c.state == Conn::State::ending) {
-            if (now - c.since > kLinger) erase(c);
+            if (now - c.since > (c.stream->queued() > 0 ? kUnsent : kLinger)) erase(c);
         } else if (c.began > 0) {
             // A request that does not end; on a new connection the silence before it counts too.
             if (now - c.began < config_.patience && !(c.fresh && now - c.since > 1.2 * config_.patience))
@@ -330,10 +366,9 @@
             answer(c, 408, "the request did not end in time", 0, true);
         } else if (c.fresh) {
             if (now - c.since < config_.patience) continue;
-            ++tally_.silent;
-            erase(c);
+            if (retire(c)) ++tally_.silent;
         } else if (now - c.since > (crowded ? config_.least_idle : config_.most_idle)) {
-            erase(c);
+            retire(c);
         }
     }
 }
--- a/src/platform/clients.h
+++ b/src/platform/clients.h
@@ -3,6 +3,11 @@
 // One request at a time on a connection; what follows waits, bounded. Connections that say nothing, or never
 // end a request, are answered or closed within `patience`; idle ones make room for new ones. Answers of one
 // turn of the loop leave in one write.
+//
+// Every connection that this side ends is ended in one way (see end() and retire()): no request may lie
+// unread, what was written goes out, then a FIN; what still comes is read and thrown away, for a bounded time
+// and up to a bounded amount; then it is closed. A close over unread bytes would be a reset, and take the
+// answer with it.
 #pragma once
 
 #include <list>
@@ -16,9 +21,10 @@
 
 class Clients {
 public:
+    static constexpr std::size_t kEndingMost = 16;
     struct Config {
         std::string listen;
-        std::size_t most = 300;             // connections
+        std::size_t most = 300;             // connections that serve; kEndingMost more may be ending
         std::size_t most_bytes = 16 << 20;  // request bodies held, in sum
         Millis patience = 2000;             // from the first byte to the last of a request, or silence
         Millis least_idle = 2000;           // before an idle connection may be closed
@@ -27,7 +33,8 @@
     Clients(net::Loop& loop, const drill::Named& named, Relay& relay, Config config);
     ~Clients();
 
-    int listen();   // 0 or a libuv code
+    int listen();  // 0 or a libuv code
+    int port() const { return listener_ ? listener_->port() : 0; }
     void drain();   // no longer ready; what comes is served still
     void depart();  // listens no more; answers end their connections, idle ones close
     std::size_t connections() const { return all_.size(); }
@@ -47,14 +54,19 @@
     void complete(Conn& c);
     void answer(Conn& c, int status, std::string_view why, Millis pause, bool close);
     void next(Conn& c);
-    void end(Conn& c);  // a FIN after what was written, then gone
+    Conn& adopt(std::unique_ptr<net::Stream> stream);
+    void end(Conn& c);     // a FIN after what was written, what comes is thrown away, then gone
+    bool retire(Conn& c);  // ends one that rests; false: something lies unread on it, which is read first
     void erase(Conn& c);
-    void lose(Conn& c);     // it went, or is given up, under a request that may be open
+    void lose(Conn& c);     // it went under a request that may be open
+    void abandon(Conn& c);  // it is given up under a request that may be open
     void release(Conn& c);  // the bytes of its body count no more
     void send(Conn& c, std::string_view bytes);
     void flush();
     void sweep();
     bool make_room();
+    Conn* longest_ending();
+    Conn* longest_resting();
 
     net::Loop& loop_;
     const drill::Named& named_;
@@ -67,6 +79,7 @@
     net::Turn turn_;
     bool draining_ = false, departing_ = false;
     std::size_t bytes_ = 0;
+    std::size_t ending_ = 0;  // connections that end: they count to all_, not to Config::most
     Tally tally_;
 };
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -16,7 +16,8 @@
 constexpr Millis kStillServed = 600;  // after SIGTERM new connections keep coming for a while
 constexpr Millis kFirstList = 300;    // a process that starts waits so long for the list before it listens
 constexpr Millis kState = 5000;       // between two lines of state in the log
-constexpr std::size_t kReserve = 24;  // descriptors for everything but clients and servers
+// Descriptors for everything but clients and servers: the loop, the log, discovery, connections that end.
+constexpr std::size_t kReserve = 24 + Clients::kEndingMost;
 
 Millis unix_offset() {
     using namespace std::chrono;
--- /dev/null
+++ b/tests/program/clients_test.cpp
@@ -0,0 +1,271 @@
+// Client connections of the platform, with real sockets on loopback: what is ended in the very moment in
+// which bytes come. The peer's bytes lie in the kernel before the gateway acts, so each order happens every
+// time.
+#include "platform/clients.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <vector>
+
+#include "platform_world.h"
+
+namespace gorsenotch::test {
+namespace {
+
+// A client that acts by system calls, outside the loop.
+class Peer {
+public:
+    explicit Peer(int port) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in to{};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<std::uint16_t>(port));
+        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+        ::fcntl(fd_, F_SETFL, O_NONBLOCK);
+    }
+    ~Peer() { close(); }
+    Peer(const Peer&) = delete;
+    Peer& operator=(const Peer&) = delete;
+    void send(const std::string& bytes) {
+        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+    void close() {
+        if (fd_ >= 0) ::close(fd_);
+        fd_ = -1;
+    }
+    // Takes what has come: the text so far, and whether and how the connection ended.
+    void look() {
+        char buffer[4096];
+        for (;;) {
+            const ssize_t n = ::recv(fd_, buffer, sizeof buffer, 0);
+            if (n > 0) {
+                text.append(buffer, static_cast<std::size_t>(n));
+                continue;
+            }
+            ended |= n == 0;
+            int error = 0;  // a reset that comes after the FIN is told here alone
+            socklen_t size = sizeof error;
+            ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+            reset |= (n < 0 && errno != EAGAIN) || error != 0;
+            return;
+        }
+    }
+    std::string text;
+    bool ended = false, reset = false;
+
+private:
+    int fd_;
+};
+
+std::string post(const std::string& txn, const std::string& body = "{}") {
+    return "POST /v1/chat/completions HTTP/1.1\r\nx-txn: " + txn +
+           "\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: 5000m\r\ncontent-length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct ClientsTest : ::testing::Test {
+    net::Loop loop;
+    platform::Config config = parse_config(kConfig, "", "");
+    PlatformWorld world;
+    Hosts hosts{config.named, 0};
+    Relay relay{config.named, 1, hosts, world};
+    std::unique_ptr<Clients> clients;
+
+    void start(Clients::Config c) {
+        std::string why;
+        auto list = hosts.take(config.known, false, why);
+        ASSERT_TRUE(list) << why;
+        relay.list(std::move(*list));
+        c.listen = "127.0.0.1:0";
+        clients = std::make_unique<Clients>(loop, config.named, relay, c);
+        ASSERT_EQ(clients->listen(), 0);
+    }
+    void SetUp() override { start(Clients::Config()); }
+    void run(Millis ms) {
+        net::Timer end(loop, [this] { loop.stop(); });
+        end.after(ms);
+        loop.run();
+    }
+    // Runs the loop until `holds`, two seconds at most.
+    void until(const std::function<bool()>& holds) {
+        for (const Millis end = net::now() + 2000; !holds() && net::now() < end;) run(2);
+        EXPECT_TRUE(holds());
+    }
+    std::size_t sent(const std::string& txn) const {
+        return static_cast<std::size_t>(
+            std::count_if(world.sent.begin(), world.sent.end(), [&](const PlatformWorld::Sent& s) {
+                return s.request.find("x-txn: " + txn + "\r\n") != std::string::npos;
+            }));
+    }
+    // Serves whatever is out: reads are done, writes stream one event.
+    void serve() {
+        for (std::size_t i = 0; i < world.sent.size(); ++i) {
+            const auto s = world.sent[i];
+            if (s.attempt->over() || s.closed) continue;
+            if (s.request.rfind("DELETE", 0) == 0) {
+                s.attempt->data("HTTP/1.1 204 No Content\r\n\r\n");
+            } else if (s.address == "10.0.0.3:1") {
+                s.attempt->data(kStream + chunked("data: a\n\n") + "0\r\n\r\n");
+            } else {
+                s.attempt->data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+            }
+        }
+    }
+    // A connection on which one request has been answered.
+    std::unique_ptr<Peer> rested(const std::string& txn) {
+        auto peer = std::make_unique<Peer>(clients->port());
+        peer->send(post(txn));
+        until([&] { return sent(txn) > 0; });
+        serve();
+        until([&] { return peer->look(), peer->text.find("0\r\n\r\n") != std::string::npos; });
+        peer->text.clear();
+        return peer;
+    }
+};
+
+TEST_F(ClientsTest, ARequestThatLiesUnreadAsTheGatewayDepartsIsServed) {
+    const auto peer = rested("t1");
+    peer->send(post("t2"));  // in the kernel, and not read yet
+    clients->depart();
+    until([&] { return sent("t2") > 0; });
+    serve();
+    until([&] { return peer->look(), peer->ended; });
+    EXPECT_NE(peer->text.find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_NE(peer->text.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_FALSE(peer->reset);
+}
+
+TEST_F(ClientsTest, AConnectionThatLiesUnacceptedAsTheGatewayDepartsIsServed) {
+    const int port = clients->port();
+    Peer peer(port);
+    peer.send(post("t1"));
+    clients->depart();
+    until([&] { return sent("t1") > 0; });
+    serve();
+    until([&] { return peer.look(), peer.ended; });
+    EXPECT_NE(peer.text.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_FALSE(peer.reset);
+}
+
+TEST_F(ClientsTest, ARequestThatComesAfterTheFinIsNotSentOnAndItsClientSeesNoReset) {
+    const auto peer = rested("t1");
+    clients->depart();
+    until([&] { return peer->look(), peer->ended; });
+    peer->send(post("t2"));
+    run(50);
+    peer->look();
+    EXPECT_EQ(sent("t2"), 0u);
+    EXPECT_EQ(peer->text, "");
+    EXPECT_FALSE(peer->reset) << "what comes late is read and thrown away";
+    peer->close();
+    until([&] { return clients->connections() == 0; });
+}
+
+struct FewPlacesTest : ClientsTest {
+    void SetUp() override {
+        Clients::Config c;
+        c.most = 2;
+        c.least_idle = 50;
+        start(c);
+    }
+};
+
+TEST_F(FewPlacesTest, ARefusedConnectionGetsItsAnswerThoughItsRequestIsUnread) {
+    Peer one(clients->port()), two(clients->port());
+    one.send(post("t1")), two.send(post("t2"));
+    until([&] { return sent("t1") + sent("t2") == 2; });
+    Peer third(clients->port());
+    third.send(post("t3"));
+    until([&] { return third.look(), third.ended || third.reset; });
+    EXPECT_NE(third.text.find("HTTP/1.1 503"), std::string::npos);
+    EXPECT_FALSE(third.reset);
+    EXPECT_EQ(sent("t3"), 0u);
+    serve();
+    serve();
+    until([&] { return one.look(), two.look(), !one.text.empty() && !two.text.empty(); });
+}
+
+TEST_F(FewPlacesTest, TheOneThatMakesRoomIsNotOneWhoseRequestHasCome) {
+    Peer first(clients->port()), second(clients->port());
+    until([&] { return clients->connections() == 2; });
+    run(150);
+    Peer third(clients->port());
+    third.send(post("t2"));
+    first.send(post("t1"));  // on the one that has been silent for longer; read after the third is accepted
+    until([&] { return sent("t1") + sent("t2") == 2; });
+    until([&] { return second.look(), second.ended; });
+    serve();
+    serve();
+    until([&] { return first.look(), third.look(), !first.text.empty() && !third.text.empty(); });
+    EXPECT_NE(first.text.find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_NE(third.text.find("HTTP/1.1 200"), std::string::npos);
+    EXPECT_FALSE(first.reset || second.reset || third.reset);
+}
+
+TEST_F(FewPlacesTest, ConnectionsThatEndAreBoundedUnderAFlood) {
+    Peer one(clients->port()), two(clients->port());
+    one.send(post("t1")), two.send(post("t2"));
+    until([&] { return sent("t1") + sent("t2") == 2; });
+    std::vector<std::unique_ptr<Peer>> flood;
+    for (int i = 0; i < 60; ++i) {
+        flood.push_back(std::make_unique<Peer>(clients->port()));
+        run(1);
+        EXPECT_LE(clients->connections(), 2 + Clients::kEndingMost);
+    }
+    until([&] {
+        std::size_t answered = 0;
+        for (auto& p : flood) p->look(), answered += p->text.rfind("HTTP/1.1 503", 0) == 0;
+        return answered == flood.size();
+    });
+    flood.clear();
+    serve();
+    serve();
+    until([&] { return one.look(), two.look(), !one.text.empty() && !two.text.empty(); });
+}
+
+struct ShortIdleTest : ClientsTest {
+    void SetUp() override {
+        Clients::Config c;
+        c.least_idle = c.most_idle = 150;
+        c.patience = 200;
+        start(c);
+    }
+};
+
+TEST_F(ShortIdleTest, AnIdleConnectionEndsByAFinThatCrossesARequestWithoutAReset) {
+    const auto peer = rested("t1");
+    until([&] { return peer->look(), peer->ended; });
+    peer->send(post("t2"));
+    run(30);
+    peer->look();
+    EXPECT_EQ(sent("t2"), 0u);
+    EXPECT_FALSE(peer->reset);
+}
+
+TEST_F(ShortIdleTest, ASilentNewConnectionEndsWithoutAnAnswerAndWithoutAReset) {
+    Peer peer(clients->port());
+    until([&] { return peer.look(), peer.ended || peer.reset; });
+    EXPECT_FALSE(peer.reset);
+    EXPECT_EQ(peer.text, "");
+}
+
+TEST_F(ClientsTest, WhoSendsTooMuchBehindAnOpenRequestIsEndedAndItsRequestCalledOff) {
+    Peer peer(clients->port());
+    peer.send(post("t1"));
+    until([&] { return sent("t1") > 0; });
+    const auto read = world.sent.back().attempt;
+    for (int i = 0; i < 10; ++i) peer.send(post("flood" + std::to_string(i), std::string(2000, 'x')));
+    until([&] { return peer.look(), peer.ended; });
+    EXPECT_TRUE(read->over());
+    EXPECT_EQ(sent("flood0"), 0u);
+    EXPECT_FALSE(peer.reset);
+    serve();
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
