Module: an opening that is much of the traffic has several homes where visits are rare

The request log: 1,930 of 2,600 late or refused requests were late at a read, all of them at five of about fifty readers, which turned away 1,300 more; the rest idled. Each opening had one home, and where visits are rare no own queue shows that it jams.

Change: homes_of() gives an opening so many homes that none carries over 1.5 times a reader's mean of it, by its part of the own arrivals (fading over 40 s; ten unseen ones stand before it is known). A session keeps its rank among them, so its turns meet their text.

The cold sum is now tested with gateways that see four times the mean, beside restarted ones.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -36,11 +36,13 @@
 constexpr double kPullMost = 1.2;   // what a cell's writers add to its readers' pull at most, or take from it
 constexpr double kRoomLeast = 0.3;  // part of the aim that may be waited however long the own work is
 constexpr double kDoubt = 2;        // times by which a wait foreseen from few visits may be too long
-constexpr double kUnknown = 0.1;    // part of the aim that reads take at most in a zone nothing is known of
-constexpr double kCalm = 0.3;       // part of the aim that is quick anyway
-constexpr double kGrudge = 20000;   // ms for which a server that failed a class is left by it, at most
-constexpr double kForget = 60000;   // ms after which a server that is gone is forgotten
-constexpr int kFewGateways = 4;     // up to so many, own queues show enough of the load
+constexpr double kHomeLoad = 1.5;  // times the mean of a reader that one of a beginning's homes carries of it
+constexpr double kFewSeen = 10;    // arrivals that stand for what is not known of a beginning yet
+constexpr double kUnknown = 0.1;   // part of the aim that reads take at most in a zone nothing is known of
+constexpr double kCalm = 0.3;      // part of the aim that is quick anyway
+constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
+constexpr double kForget = 60000;  // ms after which a server that is gone is forgotten
+constexpr int kFewGateways = 4;    // up to so many, own queues show enough of the load
 constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
 constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
 constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
@@ -212,6 +214,8 @@
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
         const double seen = static_cast<double>(std::min<std::uint64_t>(serial_, 30));
+        if (a.prefix) ++beginnings_[a.prefix];
+        ++seen_;
         prompt_ += (a.prompt_tokens - prompt_) / seen, fresh_ += (fresh(r) - fresh_) / seen;
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
@@ -538,7 +542,11 @@
             std::vector<std::pair<double, Server*>> by;
             for (Server* s : near)
                 by.push_back({-std::log(fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
-            return least_of(by);
+            const std::size_t homes = own ? 1 : std::min(by.size(), homes_of(r.a.prefix, fit.size()));
+            const auto rank = static_cast<std::size_t>(fraction(r.a.session, 1) * static_cast<double>(homes));
+            const auto at = by.begin() + static_cast<std::ptrdiff_t>(rank);
+            std::nth_element(by.begin(), at, by.end());
+            return at->second;
         }
         std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
         for (std::size_t i = 0; i < fit.size(); ++i) {
@@ -548,6 +556,17 @@
         return least_of(last);
     }
 
+    // How many readers share a beginning. Guards against a hot beginning whose home jams, as where visits are
+    // rare no own queue shows it: none carries more than so many times a reader's mean of one beginning. A
+    // session keeps its rank among them. May do harm by texts read anew at each of them.
+    std::size_t homes_of(std::uint64_t prefix, std::size_t readers) const {
+        if (!sparse()) return 1;
+        const auto seen = beginnings_.find(prefix);
+        if (seen == beginnings_.end()) return 1;
+        const double part = (seen->second - 1) / (kFewSeen + seen_);
+        return 1 + static_cast<std::size_t>(part * static_cast<double>(readers) / kHomeLoad);
+    }
+
     Server* pick_writer(const Request& r) {
         std::vector<std::pair<int, Server*>> fit;
         const Server* reader = r.state ? find(r.reader) : nullptr;
@@ -800,6 +819,10 @@
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
+        const double keep = std::exp(-dt / kUsualSpan / 10);
+        seen_ *= keep;
+        for (auto& [prefix, count] : beginnings_) count *= keep;
+        std::erase_if(beginnings_, [](const auto& b) { return b.second < 0.05; });
         for (auto& stage : typical_) {
             for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan), std::exp(-dt / kUsualSpan / 10));
         }
@@ -1005,8 +1028,10 @@
     std::uint64_t serial_ = 0;
     double retries_ = 0;
     Rate arrivals_;
-    bool reports_ = false;           // servers tell of their load
-    double prompt_ = 0, fresh_ = 0;  // usual length, and usual thousands of tokens to read of it
+    bool reports_ = false;                        // servers tell of their load
+    std::map<std::uint64_t, double> beginnings_;  // arrivals by shared beginning, fading
+    double seen_ = 0;                             // arrivals in all, fading
+    double prompt_ = 0, fresh_ = 0;               // usual length, and usual thousands of tokens to read of it
     std::array<std::vector<Usual>, 3> typical_;
     std::array<Quick, 2> quick_;
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -82,11 +82,19 @@
     return servers;
 }
 
-class ColdInSum : public ::testing::TestWithParam<int> {};
+struct Traffic {
+    int gateways;
+    bool skewed;  // a tenth of the gateways see over four times the mean
+    int of(int request) const {
+        if (skewed && request % 3 == 0) return request / 3 % std::max(1, gateways / 10);
+        return request % gateways;
+    }
+};
+class ColdInSum : public ::testing::TestWithParam<Traffic> {};
 
 // Guards against a cold server pushed over by gateways of which each keeps to a budget of its own.
 TEST_P(ColdInSum, StaysWithinTheBudgetAndStillGetsWork) {
-    const int gateways = GetParam();
+    const int gateways = GetParam().gateways;
     Fleet fleet(gateways, pairs(10));
     // 120 requests a second over eleven readers in the end: 10.9 each, at 60% of what a warm one can do.
     const double capacity = 120 / 11.0 / 0.6, per_ms = 0.12;
@@ -103,7 +111,7 @@
         }
         ++next;
         if (gateways > 2 && next % 40 == 0) fleet.restart(next / 40 % gateways, now);
-        fleet.serve(next % gateways, now, static_cast<std::uint64_t>(next));
+        fleet.serve(GetParam().of(next), now, static_cast<std::uint64_t>(next));
     }
     const auto& at = fleet.sent_at[50];
     std::size_t first = 0, in_warm_up = 0;
@@ -120,7 +128,10 @@
     EXPECT_GT(at.size() - in_warm_up, 54u / 2);  // its share comes back
     EXPECT_EQ(fleet.breaches(), std::vector<std::string>{});
 }
-INSTANTIATE_TEST_SUITE_P(Gateways, ColdInSum, ::testing::Values(2, 25, 120, 200, 300));
+INSTANTIATE_TEST_SUITE_P(Gateways, ColdInSum,
+                         ::testing::Values(Traffic{2, false}, Traffic{25, false}, Traffic{120, false},
+                                           Traffic{200, false}, Traffic{300, false}, Traffic{25, true},
+                                           Traffic{300, true}));
 
 // Guards against the few writers of a cell full of readers drawing all that is read there.
 TEST(Many, WritersAreDealtOverTheCells) {
@@ -236,6 +247,49 @@
     }
 }
 
+// Found on a deployment with one class and few openings: six readers jammed on a calm day while forty idled,
+// as each opening had one home and no gateway saw enough of it to notice.
+TEST(Many, AHotOpeningIsSharedByReadersAndARareOneHasOneHome) {
+    Settings s = plain_settings();
+    s.gateways = 100;
+    const std::uint64_t hot = 7;
+    std::map<ServerId, int> hot_reads;
+    std::map<std::uint64_t, std::map<ServerId, int>> rare_reads;
+    int hot_sum = 0;
+    for (std::uint64_t gateway = 1; gateway <= 30; ++gateway) {
+        Bench bench(s, gateway);
+        bench.feed(0, list(pairs(20)));
+        for (std::uint64_t i = 0; i < 80; ++i) {
+            const Millis now = 10 + 600.0 * static_cast<double>(i);
+            bench.run_to(now);
+            const RequestId id = "r" + std::to_string(i);
+            Arrival a = arrival(id, now, 3000);
+            a.session = gateway * 1000 + i;
+            a.prefix = i % 5 < 2 ? hot : 100 + (gateway * 7 + i) % 40;
+            a.prefix_tokens = 2600;
+            bench.feed(now, a);
+            const auto sends = bench.all<Attempt>();
+            ASSERT_EQ(sends.size(), 1u);
+            const ServerId at = sends[0].server;
+            if (i >= 40 && a.prefix == hot) ++hot_reads[at], ++hot_sum;
+            if (a.prefix != hot) ++rare_reads[a.prefix][at];
+            bench.feed(now + 20, outcome(id, 0, at, Result::read_done));
+            const ServerId writer = bench.all<Attempt>().at(0).server;
+            bench.feed(now + 30, FirstToken{id, 1, writer, 5});
+            bench.feed(now + 40, outcome(id, 1, writer, Result::served, true));
+        }
+    }
+    for (const auto& [id, n] : hot_reads) EXPECT_LT(n, 0.35 * hot_sum) << "reader " << id;
+    EXPECT_LE(hot_reads.size(), 8u) << "the gateways agree on its homes";
+    double home = 0, all = 0;
+    for (const auto& [prefix, readers] : rare_reads) {
+        int most = 0;
+        for (const auto& [id, n] : readers) most = std::max(most, n), all += n;
+        home += most;
+    }
+    EXPECT_GT(home / all, 0.7);
+}
+
 // Guards against a request spent on one server: it looks idle to a gateway that has nothing else there.
 TEST(Many, ARequestLeavesTheServerThatFailedIt) {
     for (const int gateways : {2, 100}) {
