Clients, watch, kept connections: what was read is served, slow lists are taken, late answers are nobody's

- Clients: a request read behind an open one was dropped with the connection as the gateway departed.
What has come, in the buffer or unread in the kernel, is served before the FIN.
- Watch: a list that comes slowly was given up after 0.3 s each time, for good; it now has up to 2 s while bytes come.
Connecting to a silent discovery waits 0.15 s (0.3) and the pause is 0.05 s (0.1), as what discovery has at its return counts at once.
Another discovery's whole list was refused twice where its versions were lower; versions now count within one discovery (Hosts::Source).

--- a/src/decide/reuse.h
+++ b/src/decide/reuse.h
@@ -15,8 +15,9 @@
 
 class Reuse {
 public:
-    // Whether to use one that has been idle for `idle`. `draw`: uniform from 0 to 1; a few are tried in any
-    // case.
+    // Whether to use one that has been idle for `idle`. Never right after its last answer: what a server
+    // sends behind that, some ms late, would be taken for the next request's answer. `draw`: uniform from 0
+    // to 1; a few are tried in any case.
     bool worth(Millis idle, double draw) const;
     // A request went out on a connection, kept for `idle` or new (`idle` below 0); `broke`: it ended before
     // any byte of an answer.
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -52,6 +52,9 @@
         if (config_.rested && link->idle_since > loop_.looked()) continue;
         const Millis idle = net::now() - link->idle_since;
         if (config_.learn && !reuse_.worth(idle, draw)) continue;
+        // Guards against a request written to a connection that the server has closed, or has sent something
+        // on, which has not been read yet. Costs one system call a request.
+        if (link->stream->unread()) continue;
         link->idle_for = idle, link->heard = false;
         it->second.erase(it->second.begin() + static_cast<std::ptrdiff_t>(i));
         return link;
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -37,7 +37,9 @@
           parser(http::Parser::Kind::request, http::Limits{16 * 1024, 64, kMaxBody}) {}
 
     // No request has begun on it: it may be ended.
-    bool resting() const { return state == State::reading && began == 0; }
+    bool resting() const { return state == State::reading && began == 0 && ahead.empty(); }
+    // Nothing that has come waits for the end of the present answer.
+    bool nothing_behind() const { return ahead.empty() && !stream->unread(); }
 
     void write_out() {
         if (!out.empty()) stream->write(std::exchange(out, std::string()));
@@ -45,7 +47,7 @@
 
     void begin(std::string_view events) override {
         http::Headers headers = {{"content-type", "text/event-stream"}, {"transfer-encoding", "chunked"}};
-        if (of.departing_) headers.emplace_back("connection", "close");
+        if (of.departing_ && nothing_behind()) headers.emplace_back("connection", "close");
         std::string s = http::response_head(200, headers);
         http::append_chunk(s, events);
         of.send(*this, s);
@@ -256,7 +258,7 @@
 
 void Clients::answer(Conn& c, int status, std::string_view why, Millis pause, bool close) {
     if (c.gone) return;
-    close |= departing_ || !c.parser.keep_alive;
+    close |= !c.parser.keep_alive || (departing_ && c.nothing_behind());
     http::Headers headers = {{"content-type", "text/plain"},
                              {"content-length", std::to_string(why.size() + 1)}};
     if (pause > 0) {
@@ -270,14 +272,15 @@
     end(c);
 }
 
-// The answer is out: the connection is ready for the next request.
+// The answer is out: the connection is ready for the next request. Guards against requests that were read
+// behind an open one and lost with the connection as the gateway departs: what has come is served first.
 void Clients::next(Conn& c) {
     if (c.gone) return;
-    if (departing_) return end(c);
     c.state = Conn::State::reading;
     c.since = net::now(), c.began = 0;
     c.fresh = false;
-    if (!c.ahead.empty()) send(c, {});  // read in the turn's flush
+    if (!c.ahead.empty()) return send(c, {});  // read in the turn's flush
+    if (departing_) retire(c);
 }
 
 void Clients::end(Conn& c) {
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -70,7 +70,7 @@
     return id;
 }
 
-std::optional<ListEvent> Hosts::take(const std::string& body, bool saved, std::string& why) {
+std::optional<ListEvent> Hosts::take(const std::string& body, Source source, std::string& why) {
     try {
         const Json v = Json::parse(body, nullptr, false);
         if (v.is_discarded() || !v.is_object()) throw Bad{"not a JSON object"};
@@ -81,11 +81,16 @@
         const auto version = static_cast<std::uint64_t>(seq);
         const auto form = v.find("whole");
         const bool whole = form != v.end() && form->is_boolean() && form->get<bool>();
-        // A list that is older than the one held changes nothing, unless discovery stays with it.
-        if (version < version_ && !(whole && ++older_ >= 3))
+        // A list that is older than the one held changes nothing, unless discovery stays with it. Another
+        // discovery counts by itself: where its whole list was refused as older, drains that only it tells
+        // would be missed.
+        const bool first_of_another = source == Source::moved && whole;
+        if (version < version_ && !first_of_another && !(whole && ++older_ >= 3))
             throw Bad{"seq: went back from " + std::to_string(version_) + " to " + std::to_string(version)};
         ListEvent e;
-        e.form = saved ? ListEvent::Form::saved : whole ? ListEvent::Form::full : ListEvent::Form::changes;
+        e.form = source == Source::saved ? ListEvent::Form::saved
+                 : whole                 ? ListEvent::Form::full
+                                         : ListEvent::Form::changes;
         std::vector<Host> read;
         for (std::size_t i = 0; i < rows->size(); ++i) {
             try {
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -23,8 +23,10 @@
     // `offset`: what is added to Unix ms to get the Router's clock.
     Hosts(const drill::Named& named, Millis offset) : named_(named), offset_(offset) {}
 
-    // Takes a list or changes; the event for the Router, or nothing and why. `saved`: as last held.
-    std::optional<ListEvent> take(const std::string& text, bool saved, std::string& why);
+    // Where a text comes from: as last held, the same discovery as before, or one at another address.
+    enum class Source { saved, same, moved };
+    // Takes a list or changes; the event for the Router, or nothing and why.
+    std::optional<ListEvent> take(const std::string& text, Source source, std::string& why);
     std::uint64_t version() const { return version_; }
     Host* find(ServerId id);
     std::map<ServerId, Host>& all() { return hosts_; }
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -70,9 +70,9 @@
     relay_.on_wake() = [this] { ticker_.wake(); };
     loop_.on_sleep = [this](Millis due) { relay_.sleeps(due); };
     loop_.on_look = [this] { relay_.looked(loop_.looked()); };
-    watch_.on_list = [this](const std::string& text) -> std::optional<std::uint64_t> {
+    watch_.on_list = [this](const std::string& text, bool moved) -> std::optional<std::uint64_t> {
         std::string why;
-        auto e = hosts_.take(text, false, why);
+        auto e = hosts_.take(text, moved ? Hosts::Source::moved : Hosts::Source::same, why);
         if (!e) {
             log("warn", "list_refused", why);
             return std::nullopt;
@@ -95,7 +95,7 @@
     started_ = net::now();
     std::string why;
     if (!config_.known.empty()) {
-        if (auto e = hosts_.take(config_.known, true, why)) {
+        if (auto e = hosts_.take(config_.known, Hosts::Source::saved, why)) {
             relay_.list(std::move(*e));
         } else {
             log("warn", "known_refused", why);
--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -40,6 +40,7 @@
     successor_ = std::make_unique<Call>();
     Call& c = *successor_;
     c.address = address_;
+    c.began = net::now();
     c.stream = std::make_unique<net::Stream>(loop_);
     c.parser =
         std::make_unique<http::Parser>(http::Parser::Kind::response, http::Limits{16 * 1024, 100, kMost});
@@ -74,20 +75,28 @@
     while (!bytes.empty()) {
         bytes.remove_prefix(std::min(bytes.size(), call.parser->feed(bytes)));
         if (call.parser->fault() != http::Fault::none) return fault(call, "the answer can't be read");
-        if (!call.parser->complete()) return;
+        if (!call.parser->complete()) return progressed(call);
         if (call.parser->status < 200) continue;
         if (!bytes.empty()) return fault(call, "more than one answer");
         return answer(call);
     }
 }
 
+// Guards against a list that comes slowly, in pieces or to a starved process, and is given up each time: then
+// no list would ever be taken. May do harm by one that trickles, up to `slowest` each time.
+void Watch::progressed(Call& call) {
+    if (&call == successor_.get() && net::now() - call.began < config_.slowest)
+        retry_.after_look(config_.whole);
+}
+
 void Watch::answer(Call& call) {
     if (call.parser->status != 200) return fault(call, "status " + std::to_string(call.parser->status));
     const std::string body = std::move(call.body);
     call.body.clear();
-    const auto from = on_list(body);
+    const auto from = on_list(body, !answered_.empty() && answered_ != call.address);
     if (!from) return fault(call, "");  // told by who refused it
     from_ = from;
+    answered_ = call.address;
     told_ = false;
     if (&call == successor_.get()) {
         drop(call_);
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -6,8 +6,9 @@
 //
 // Times: a silent watch is found after hold + slack, and the successor is tried every `dial` or `whole` from
 // then on: what it has missed is here well within the 6 s of the platform's rule, whatever else failed first.
-// The short `whole` serves the return of discovery after an outage, when what it has counts at once. Errors:
-// none end it; a row of faults is told once.
+// A list that comes slowly has up to `slowest`, as long as some of it comes within each `whole`. The short
+// times serve the return of discovery after an outage, when what it has counts at once. Errors: none end it;
+// a row of faults is told once.
 #pragma once
 
 #include <functional>
@@ -24,14 +25,16 @@
 class Watch {
 public:
     struct Config {
-        net::Millis hold = 2000;  // asked for, of a call that waits
-        net::Millis slack = 500;  // after that it is overdue
-        net::Millis whole = 300;  // for the whole list to come, on a connection that is up
-        net::Millis dial = 300;   // for a connection to come up
-        net::Millis pause = 100;  // between two tries after a fault, half to one and a half of it
+        net::Millis hold = 2000;     // asked for, of a call that waits
+        net::Millis slack = 500;     // after that it is overdue
+        net::Millis whole = 300;     // for the whole list to come, on a connection that is up
+        net::Millis dial = 150;      // for a connection to come up
+        net::Millis pause = 50;      // between two tries after a fault, half to one and a half of it
+        net::Millis slowest = 2000;  // for the whole list, while it keeps coming
     };
-    // Takes an answer's text; the version to wait beyond, or nothing where it was refused.
-    std::function<std::optional<std::uint64_t>(const std::string&)> on_list;
+    // Takes an answer's text; the version to wait beyond, or nothing where it was refused. `moved`: it is the
+    // first from another address than the answers before it, whose versions say nothing of this one's.
+    std::function<std::optional<std::uint64_t>(const std::string&, bool moved)> on_list;
     std::function<void(const std::string&)> on_fault;  // once for a row of faults, with the reason
 
     Watch(net::Loop& loop, std::uint64_t seed, Config config);
@@ -44,11 +47,13 @@
         std::unique_ptr<net::Stream> stream;
         std::unique_ptr<http::Parser> parser;
         std::string address, body;
+        net::Millis began = 0;
     };
     void begin();       // a successor, now
     void begin_soon();  // after a pause
     void ask(Call& call, bool whole);
     void data(Call& call, std::string_view bytes);
+    void progressed(Call& call);
     void answer(Call& call);
     void fault(Call& call, const std::string& why);
     void tell(const std::string& why);
@@ -57,7 +62,7 @@
     net::Loop& loop_;
     const Config config_;
     std::mt19937_64 random_;
-    std::string address_;
+    std::string address_, answered_;  // where to ask; where the last good answer came from
     std::unique_ptr<Call> call_, successor_;
     std::vector<std::unique_ptr<Call>> dead_;  // closed in a callback of their own; freed by the next turn
     net::Timer overdue_, retry_, cleanup_;
--- a/tests/program/clients_test.cpp
+++ b/tests/program/clients_test.cpp
@@ -78,7 +78,7 @@
 
     void start(Clients::Config c) {
         std::string why;
-        auto list = hosts.take(config.known, false, why);
+        auto list = hosts.take(config.known, Hosts::Source::same, why);
         ASSERT_TRUE(list) << why;
         relay.list(std::move(*list));
         c.listen = "127.0.0.1:0";
@@ -166,6 +166,28 @@
     until([&] { return clients->connections() == 0; });
 }
 
+// Pipelined requests that the gateway has read behind an open one as it departs, and one that lies unread
+// then.
+TEST_F(ClientsTest, RequestsBehindAnOpenOneAreServedThoughTheGatewayDeparts) {
+    Peer peer(clients->port());
+    peer.send(post("t1") + post("t2"));
+    until([&] { return sent("t1") > 0; });
+    clients->depart();
+    serve();
+    serve();
+    peer.send(post("t3"));  // unread as the first answer ends
+    for (const char* txn : {"t2", "t3"}) {
+        until([&] { return sent(txn) > 0; });
+        serve();
+        serve();
+    }
+    until([&] { return peer.look(), peer.ended; });
+    std::size_t answers = 0;
+    for (std::size_t at = 0; (at = peer.text.find("0\r\n\r\n", at)) != std::string::npos; ++at) ++answers;
+    EXPECT_EQ(answers, 3u) << peer.text;
+    EXPECT_FALSE(peer.reset);
+}
+
 struct FewPlacesTest : ClientsTest {
     void SetUp() override {
         Clients::Config c;
--- a/tests/program/departure_test.cpp
+++ b/tests/program/departure_test.cpp
@@ -50,6 +50,7 @@
 TEST(Reuse, KeptConnectionsThatBreakAreLeftAndTriedNowAndThen) {
     decide::Reuse r;
     EXPECT_TRUE(r.worth(100, 0.9)) << "at the start they are used";
+    EXPECT_FALSE(r.worth(10, 0)) << "but not right after an answer: a second one may follow";
     for (int i = 0; i < 200; ++i) r.ended(100, i % 100 == 0), r.ended(-1, false);
     EXPECT_TRUE(r.worth(100, 0.9)) << "one in a hundred is less than a handshake";
     for (int i = 0; i < 10; ++i) r.ended(100, i % 3 == 0);
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -49,9 +49,9 @@
     Config config = parse_config(kConfig, "", "");
     Hosts hosts{config.named, -1000};
     std::string why;
-    std::optional<ListEvent> take(const std::string& text, bool saved = false) {
+    std::optional<ListEvent> take(const std::string& text, Hosts::Source source = Hosts::Source::same) {
         why.clear();
-        return hosts.take(text, saved, why);
+        return hosts.take(text, source, why);
     }
     static std::string row(const char* name, const char* health, long born = 0) {
         return std::string("{\"host\":\"") + name +
@@ -66,7 +66,7 @@
 };
 
 TEST_F(List, KnownThenChangesThenGone) {
-    const auto saved = take(config.known, true);
+    const auto saved = take(config.known, Hosts::Source::saved);
     ASSERT_TRUE(saved);
     EXPECT_EQ(saved->form, ListEvent::Form::saved);
     EXPECT_EQ(saved->entries.size(), 3u);
@@ -115,6 +115,14 @@
     EXPECT_EQ(hosts.version(), 2u);
 }
 
+TEST_F(List, TheWholeListOfAnotherDiscoveryIsTakenWhateverItsVersion) {
+    ASSERT_TRUE(take(config.known));
+    EXPECT_FALSE(take(list(2, false, row("x", "up")), Hosts::Source::moved)) << "changes of a list not held";
+    ASSERT_TRUE(take(list(2, true, row("x", "draining")), Hosts::Source::moved)) << why;
+    EXPECT_EQ(hosts.version(), 2u);
+    EXPECT_TRUE(take(list(3, false, row("x", "up"))));
+}
+
 // ---- a client's request ---------------------------------------------------------------------------------
 
 struct Heads : ::testing::Test {
--- a/tests/program/watch_test.cpp
+++ b/tests/program/watch_test.cpp
@@ -12,7 +12,7 @@
 using namespace gorsenotch::net;
 using platform::Watch;
 
-constexpr Watch::Config kConfig{200, 50, 30, 30, 10};
+constexpr Watch::Config kConfig{200, 50, 30, 30, 10, 200};
 
 // Discovery: answers each call as told, or holds those that wait until change().
 class Discovery {
@@ -27,6 +27,11 @@
             c.hold = std::make_unique<Timer>(loop_, [this, &c] {
                 if (c.waits && !silent) answer(c);
             });
+            c.trickle = std::make_unique<Timer>(loop_, [&c] {
+                c.stream->write(c.rest.substr(0, 1));
+                c.rest.erase(0, 1);
+                if (!c.rest.empty()) c.trickle->after(2);
+            });
             c.stream->on_data = [this, &c](std::string_view b) { data(c, b); };
             c.stream->on_end = [](int) {};
             c.stream->read(true);
@@ -47,13 +52,13 @@
     }
 
     int version = 1, calls = 0;
-    bool silent = false, refuses = false, pieces = false, closes = false;
+    bool silent = false, refuses = false, pieces = false, closes = false, half = false, trickles = false;
 
 private:
     struct Conn {
         std::unique_ptr<Stream> stream;
-        std::unique_ptr<Timer> hold;
-        std::string text;
+        std::unique_ptr<Timer> hold, trickle;
+        std::string text, rest;
         bool waits = false, mute = false;
     };
     void data(Conn& c, std::string_view b) {
@@ -73,6 +78,11 @@
         const std::string body = "{\n  \"seq\": " + std::to_string(version) + "\n}";
         const std::string all = "HTTP/1.1 200 OK\r\n" + std::string(closes ? "connection: close\r\n" : "") +
                                 "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        if (half) return c.stream->write(all.substr(0, all.size() / 2));
+        if (trickles) {
+            c.rest = all;
+            return c.trickle->after(2);
+        }
         if (!pieces) return c.stream->write(all);
         for (const char byte : all) c.stream->write(std::string(1, byte));
     }
@@ -85,11 +95,12 @@
     Loop loop;
     Discovery discovery{loop};
     Watch watch{loop, 1, kConfig};
-    int seen = 0, faults = 0;
+    int seen = 0, faults = 0, moves = 0;
     Millis seen_at = 0;
 
     void SetUp() override {
-        watch.on_list = [this](const std::string& body) -> std::optional<std::uint64_t> {
+        watch.on_list = [this](const std::string& body, bool moved) -> std::optional<std::uint64_t> {
+            moves += moved;
             const auto at = body.find("\"seq\":");
             if (at == std::string::npos) return std::nullopt;
             const int version = std::stoi(body.substr(at + 6));
@@ -180,9 +191,11 @@
     discovery.change();
     run(30);
     EXPECT_EQ(seen, 2) << "the old one is still heard";
+    EXPECT_EQ(moves, 0);
     other.silent = false;
     run(100);
     EXPECT_EQ(seen, 7);
+    EXPECT_EQ(moves, 1) << "its versions are its own";
     const int calls = other.calls;
     watch.point(other.address());  // a reload that names the same address
     run(60);
@@ -195,6 +208,60 @@
     EXPECT_EQ(seen, 8);
 }
 
+// Guards against a list that is never taken, as each try ends before its last byte has come.
+TEST_F(WatchTest, AListThatComesSlowlyIsTakenWhileItKeepsComing) {
+    discovery.trickles = true;  // a byte every 2 ms, for over twice the time that an answer has to begin
+    watch.point(discovery.address());
+    run(400);
+    EXPECT_EQ(seen, 1);
+    EXPECT_EQ(faults, 0);
+}
+
+TEST_F(WatchTest, AnAnswerThatStopsHalfWayIsGivenUpInTime) {
+    watch.point(discovery.address());
+    run(60);
+    discovery.half = true;
+    discovery.change();
+    run(100);
+    EXPECT_EQ(seen, 1);
+    discovery.half = false;
+    run(350);
+    EXPECT_EQ(seen, 2) << "the watch that has half an answer is overdue like a silent one";
+    discovery.half = true;
+    discovery.reset();
+    run(100);
+    discovery.half = false;
+    ++discovery.version;
+    run(150);
+    EXPECT_EQ(seen, 3) << "a successor that gets half an answer is followed by another";
+}
+
+TEST_F(WatchTest, AResetWhileTheSuccessorWaitsLeavesTheSuccessor) {
+    watch.point(discovery.address());
+    run(60);
+    discovery.silent = true;
+    run(270);  // overdue: a successor is out
+    discovery.reset();
+    ++discovery.version;
+    discovery.silent = false;
+    run(100);
+    EXPECT_EQ(seen, 2);
+}
+
+TEST_F(WatchTest, AnAnswerThatIsRefusedIsFollowedByAWholeListSoon) {
+    watch.point(discovery.address());
+    run(60);
+    const auto take = watch.on_list;
+    bool refuses = true;
+    watch.on_list = [&](const std::string& body, bool moved) -> std::optional<std::uint64_t> {
+        if (std::exchange(refuses, false)) return std::nullopt;
+        return take(body, moved);
+    };
+    discovery.change();
+    run(60);
+    EXPECT_EQ(seen, 2);
+}
+
 TEST_F(WatchTest, AnAnswerThatEndsItsConnectionIsFollowedByAnother) {
     discovery.closes = true;
     watch.point(discovery.address());
