Tests: stops in every moment, crowds with discovery down, lower versions, events as they come

node.test.mjs: SIGTERM before the listener, twice and beside SIGHUP; what waits is answered, what a server has finished is passed on, what rests gets a FIN; pipelined requests behind an open one; a new discovery with lower versions; idle clients that fill the descriptors while discovery is down; each of twelve events passed on within 300 ms under load. The cold sum is also tested where seven in ten gateways start anew just after the cold server, some with four times the mean.

--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -293,6 +293,143 @@
   assert.ok(Date.now() - began < 3700);
 });
 
+// A stop in every moment that a platform may choose for it.
+const posted = (id, extra = '') => `POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\n` +
+  `x-remaining: 2500m\r\n${extra}content-length: 2\r\n\r\n{}`;
+
+test('SIGTERM before the listener is open, twice, and with SIGHUP ends the gateway cleanly', async () => {
+  let asked = 0;
+  const silent = net.createServer(() => { ++asked; });
+  const port = await listen(silent);
+  for (const signals of [['SIGTERM'], ['SIGTERM', 'SIGTERM'], ['SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGTERM']]) {
+    const own = new Gateway();
+    const ready = own.start(port).catch(() => 'never ready');  // without discovery it listens after 0.3 s
+    const before = asked;
+    await until('the call to discovery', () => asked > before);
+    for (const s of signals) { own.child.kill(s); await sleep(10); }
+    assert.deepEqual(await own.ended, { code: 0, signal: null }, signals.join());
+    assert.doesNotMatch(own.err, /"ready"|Sanitizer|runtime error/);
+    own.err = '"ready"';
+    await ready;
+  }
+  silent.close();
+});
+
+test('a stop answers what waits, passes on what a server has finished, and ends what rests', async () => {
+  const own = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  const behave = writer.behave;
+  writer.behave = (r, res) => {
+    if (r.headers['x-txn'] === 'stop-waits') return true;  // never answered
+    if (r.headers['x-txn'] !== 'stop-ends') return false;
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    res.write('data: 1\n\n');
+    setTimeout(() => res.end('data: [DONE]\n\n'), 900);
+    return true;
+  };
+  const waits = own.ask('stop-waits'), ends = own.ask('stop-ends');
+  await until('both', () => ['stop-waits', 'stop-ends'].every((id) => writer.seen.some((s) => s.headers['x-txn'] === id)));
+  let rested = '';
+  const rests = net.connect(own.port, '127.0.0.1', () => rests.write(posted('stop-rests')));
+  const over = new Promise((done) => { rests.on('data', (d) => { rested += d; }); rests.on('end', done); rests.on('error', done); });
+  await until('the answer', () => /\[DONE\]/.test(rested));
+  const began = Date.now(), ending = own.end();
+  assert.ok((await ends).whole, 'the end of a stream that its server has finished');
+  assert.equal((await waits).status, 503);
+  assert.ok(Date.now() - began < 3700, 'before the kill');
+  assert.equal(await over, undefined, 'a FIN, no reset');
+  rests.destroy();
+  assert.deepEqual(await ending, { code: 0, signal: null });
+  writer.behave = behave;
+});
+
+test('pipelined requests behind an open one are served though the gateway is told to stop', async () => {
+  const own = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  let got = '';
+  const s = net.connect(own.port, '127.0.0.1', () => s.write(posted('pipe-1') + posted('pipe-2') + posted('pipe-3')));
+  const over = new Promise((done) => { s.on('data', (d) => { got += d; }); s.on('end', done); });
+  await until('the first', () => reader.seen.some((r) => r.headers['x-txn'] === 'pipe-1'));
+  const ending = own.end();
+  await over;
+  s.destroy();
+  assert.equal(got.match(/\[DONE\]/g)?.length, 3, got);
+  assert.deepEqual(await ending, { code: 0, signal: null });
+});
+
+test('SIGHUP to a discovery with lower versions: its drain is kept', async () => {
+  const first = await new Discovery().start([reader.host(), writer.host()], 40);
+  const own = await new Gateway().start(first.port);
+  await until('the list', () => first.waiting.length === 1);
+  const second = await new Discovery().start([reader.host(), writer.host('draining')], 3);
+  own.write(second.port);
+  own.child.kill('SIGHUP');
+  await until('the second', () => second.waiting.length === 1, 1000);
+  assert.equal(second.calls, 2, 'taken at the first answer');
+  const before = writer.seen.filter((r) => r.method === 'POST').length;
+  assert.equal((await own.ask('hup-1')).status, 503);
+  assert.equal(writer.seen.filter((r) => r.method === 'POST').length, before);
+  await own.end();
+  first.stop(); second.stop();
+});
+
+test('idle clients that fill the descriptors hold up neither discovery nor a request that is open', async () => {
+  const own = new Gateway(), port = await freePort();
+  await own.start(port, [reader.host(), writer.host()]);  // nobody is there yet
+  writer.behave = (r, res) => {
+    if (r.headers['x-txn'] !== 'crowd-1') return false;
+    setTimeout(() => { res.writeHead(200, { 'content-type': 'text/event-stream' }); res.end('data: 1\n\n'); }, 1200);
+    return true;
+  };
+  const open = own.ask('crowd-1');
+  await until('the write', () => writer.seen.some((r) => r.headers['x-txn'] === 'crowd-1'));
+  const crowd = [];
+  for (let i = 0; i < 400; ++i) {
+    const s = net.connect(own.port, '127.0.0.1');
+    s.on('error', () => {}); s.resume();
+    crowd.push(s);
+  }
+  await sleep(300);
+  const late = await new Discovery();
+  late.hosts = [reader.host(), writer.host()]; late.seq = 9;
+  late.server = http.createServer((req, res) => { ++late.calls; late.waiting.push(res); if (late.calls === 1) { late.waiting = []; late.tell(res); } });
+  await new Promise((done) => late.server.listen(port, '127.0.0.1', done));
+  late.server.on('connection', (s) => late.open.add(s));
+  await until('discovery', () => late.calls >= 2, 2000);
+  assert.equal((await open).status, 200, 'the open request is not evicted');
+  const next = await own.ask('crowd-2');
+  assert.ok(next.status === 200 || next.status === 503 || next.status === 0);
+  for (const s of crowd) s.destroy();
+  await sleep(100);
+  assert.equal((await own.ask('crowd-3')).status, 200);
+  writer.behave = () => false;
+  await own.end();
+  late.stop();
+});
+
+test('events are passed on one by one as they come, also while the process has much to do', async () => {
+  const at = [], sent = [];
+  writer.behave = (r, res) => {
+    if (r.headers['x-txn'] !== 'pace-1') return false;
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    const beat = setInterval(() => {
+      sent.push(Date.now());
+      if (sent.length === 12) { clearInterval(beat); return res.end('data: 12\n\n'); }
+      res.write(`data: ${sent.length}\n\n`);
+    }, 40);
+    return true;
+  };
+  const load = Array.from({ length: 150 }, (_, i) => sleep(4 * i).then(() => gateway.ask(`load-${i}`)));
+  await new Promise((done) => {
+    const s = net.connect(gateway.port, '127.0.0.1', () => s.write(posted('pace-1', 'connection: close\r\n')));
+    s.on('data', (d) => { for (const _ of String(d).match(/data: \d+/g) ?? []) at.push(Date.now()); });
+    s.on('close', done);
+  });
+  await Promise.all(load);
+  writer.behave = () => false;
+  assert.equal(at.length, 12);
+  const slowest = Math.max(...at.map((t, i) => t - sent[i]));
+  assert.ok(slowest < 300, `an event took ${slowest} ms`);
+});
+
 test('a wrong configuration is refused before anything listens', async () => {
   const run = (env) => new Promise((done) => {
     const c = spawn(program, ['node'], { stdio: ['ignore', 'ignore', 'pipe'], env });
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -84,7 +84,8 @@
 
 struct Traffic {
     int gateways;
-    bool skewed;  // a tenth of the gateways see over four times the mean
+    bool skewed;        // a tenth of the gateways see over four times the mean
+    bool herd = false;  // seven in ten gateways start anew just after the cold server
     int of(int request) const {
         if (skewed && request % 3 == 0) return request / 3 % std::max(1, gateways / 10);
         return request % gateways;
@@ -108,6 +109,9 @@
             e.started = started;
             fleet.add(e, now);
             cold = true;
+            for (int i = 0; GetParam().herd && i < gateways; ++i) {
+                if (i % 10 < 7) fleet.restart(i, now);
+            }
         }
         ++next;
         if (gateways > 2 && next % 40 == 0) fleet.restart(next / 40 % gateways, now);
@@ -131,7 +135,8 @@
 INSTANTIATE_TEST_SUITE_P(Gateways, ColdInSum,
                          ::testing::Values(Traffic{2, false}, Traffic{25, false}, Traffic{120, false},
                                            Traffic{200, false}, Traffic{300, false}, Traffic{25, true},
-                                           Traffic{300, true}));
+                                           Traffic{300, true}, Traffic{25, true, true},
+                                           Traffic{300, true, true}));
 
 // Guards against the few writers of a cell full of readers drawing all that is read there.
 TEST(Many, WritersAreDealtOverTheCells) {
