--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -11,26 +11,34 @@
 #include <stdexcept>
 #include <utility>
 
+#include "numeric/estimators.h"
+#include "numeric/hash.h"
+
 namespace gorsenotch {
 namespace {
 
+using numeric::CompletionTime;
+using numeric::DecayingRate;
+using numeric::hash_fraction;
+using numeric::QuantileEstimate;
+
 // Constants held for all deployments; everything else derives from settings, aims or what is observed.
 constexpr double kSlowFactor = 3;  // a server this many times slower than its peers is worth leaving
 // Log-likelihood at which it is flagged. The test never ends, so chance reaches it once in some exp(8) =
 // 3,000 stages; at 4, in 55 to some hundred, and a flag takes all the streams off a server.
 constexpr double kSlowEvidence = 8;
-constexpr double kErrorFlag = 0.35;   // recent share of failed outcomes that flags a server
-constexpr double kErrorStep = 0.2;    // weight of one outcome in that share: two failures running flag
-constexpr double kResetWeight = 0.5;  // of a broken connection in it: that may be the connection's own
-constexpr double kNearFull = 0.9;     // reported share of memory at which a writer has no room
-constexpr double kQuantum = 500;      // tokens; the paper's quantum, for streams that are still young
-constexpr double kTrusted = 16;       // requests out at once that end a suspect's slow start
-constexpr double kColdSafety = 0.7;   // part of the allowed cold budget that is used
-constexpr double kMarginLeast = 2;    // usual prompts by which a reader may hold more than the least ...
-constexpr double kMarginMost = 8;     // ... growing to this with what the home saves
-constexpr double kQuickShare = 0.3;   // the quantile
-constexpr double kQuickStep = 0.8;    // and how fast it follows
-constexpr double kQuickTimes = 20;    // a time-out is so many times that quantile
+constexpr double kErrorFlag = 0.35;       // recent share of failed outcomes that flags a server
+constexpr double kErrorStep = 0.2;        // weight of one outcome in that share: two failures running flag
+constexpr double kResetWeight = 0.5;      // of a broken connection in it: that may be the connection's own
+constexpr double kNearFull = 0.9;         // reported share of memory at which a writer has no room
+constexpr double kQuantum = 500;          // tokens; the paper's quantum, for streams that are still young
+constexpr double kTrusted = 16;           // requests out at once that end a suspect's slow start
+constexpr double kColdSafety = 0.7;       // part of the allowed cold budget that is used
+constexpr double kMarginLeast = 2;        // usual prompts by which a reader may hold more than the least ...
+constexpr double kMarginMost = 8;         // ... growing to this with what the home saves
+constexpr double kLowQuantile = 0.3;      // the quantile
+constexpr double kQuantileStep = 0.8;     // and how fast it follows
+constexpr double kTimeoutQuantiles = 20;  // a time-out is so many times that quantile
 constexpr std::array<double, 2> kPatience{2.5, 0.4};  // and not under this part of the aim; reads, waits
 constexpr double kCellPrior = 3;    // reads in a cell that outweigh what is usual in its zone
 constexpr double kPullMost = 1.2;   // what a cell's writers add to its readers' pull at most, or take from it
@@ -43,58 +51,18 @@
 constexpr double kGrudge = 20000;  // ms for which a server that failed a class is left by it, at most
 constexpr double kForget = 60000;  // ms after which a server that is gone is forgotten
 constexpr int kFewGateways = 4;    // up to so many, own queues show enough of the load
-constexpr double kRetryShare = 0.3;  // further attempts for each first token: the retry budget
-constexpr double kRetryLeast = 4;    // further attempts that any gateway starts with
-constexpr double kUsualSpan = 4000;  // ms over which the usual times fade
-constexpr double kRateSpan = 3000;   // ms over which rates are averaged
-constexpr double kTransit = 0.5;     // part of the dial time-out within which what is sent has arrived
-constexpr std::uint64_t kTick = 0;   // timer label of the periodic check; others number requests
+constexpr double kRetryShare = 0.3;       // further attempts for each first token: the retry budget
+constexpr double kRetryLeast = 4;         // further attempts that any gateway starts with
+constexpr double kCompletionSpan = 4000;  // ms over which the usual times fade
+constexpr double kPriorWeight = 2;        // completions that the prior of a completion time stands for
+constexpr double kRateSpan = 3000;        // ms over which rates are averaged
+constexpr double kTransit = 0.5;          // part of the dial time-out within which what is sent has arrived
+constexpr std::uint64_t kTick = 0;        // timer label of the periodic check; others number requests
 
 constexpr Millis kNever = 1e18;
 
 enum Stage { reading = 0, waiting = 1, streaming = 2 };
 
-// A decayed event rate, per ms.
-struct Rate {
-    double value = 0;
-    Millis at = 0;
-    double read(Millis now) const { return value * std::exp((at - now) / kRateSpan); }
-    void add(Millis now, double n = 1) { value = read(now) + n / kRateSpan, at = now; }
-};
-
-// How long a stage usually takes: time spent in it over completions, both fading, so that what is still out
-// counts too and a fresh start is not fooled by the short ones ending first. Fades to what was usual for
-// long, and that to a prior. Measured per unit of queue (see units), to tell the servers' pace.
-struct Usual {
-    double prior = 1, spent = 0, ended = 0, long_spent = 0, long_ended = 0;
-    double slow() const { return (long_spent + 2 * prior) / (long_ended + 2); }  // over ten times as long
-    double value() const { return (spent + 2 * slow()) / (ended + 2); }
-    void fade(double keep, double long_keep) {
-        spent *= keep, ended *= keep;
-        long_spent *= long_keep, long_ended *= long_keep;
-    }
-    void out(double time) { spent += time, long_spent += time; }
-    void end() { ++ended, ++long_ended; }
-};
-
-// A low quantile of the times seen, by steps: what most servers do. A large minority of slow or silent ones
-// does not lengthen the time-outs; a jam, which slows all, does.
-struct Quick {
-    double value = 1;
-    void add(double x) { value *= std::exp(kQuickStep * (x > value ? kQuickShare : kQuickShare - 1)); }
-};
-
-std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
-    std::uint64_t x = a * 0x9E3779B97F4A7C15ULL + b;
-    x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9ULL;
-    x = (x ^ (x >> 27)) * 0x94D049BB133111EBULL;
-    return x ^ (x >> 31);
-}
-
-// Random bits as a number from 0 up to, but not, 1.
-double unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) * 0x1p-53; }
-double fraction(std::uint64_t a, std::uint64_t b) { return unit(mix(a, b)); }
-
 struct Server {
     ServerEntry entry;
     Role role = Role::both;
@@ -103,8 +71,9 @@
     // own load
     std::array<int, 3> out{};  // attempts out by stage
     double to_read = 0;        // own reads out, in thousands of tokens not expected to be kept there
-    double held = 0;           // tokens of own reads and waiting states, ghosts included
-    std::deque<std::pair<Millis, double>> ghosts;  // given up on, but perhaps still worked at: until, tokens
+    double held = 0;           // tokens of own reads and waiting states, abandoned_reads included
+    std::deque<std::pair<Millis, double>>
+        abandoned_reads;  // given up on, but perhaps still worked at: until, tokens
     // reports
     double others = 0;  // tokens held for others by the latest report
     Millis heard = -kNever;
@@ -118,7 +87,7 @@
     double allow = 0;            // requests out at once while suspect
     std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
     Millis full_until = -kNever, answered = -kNever;
-    Rate sends;
+    DecayingRate sends{kRateSpan};
     std::deque<Millis> recent;  // sends within the fall window
 
     bool reads() const { return role != Role::write; }
@@ -178,11 +147,14 @@
             max_worth_ = std::max(max_worth_, c.worth);
             // Until seen: 1,000 tokens are read in what the aim grows by, a wait takes a twelfth of the aim,
             // a stream 100 tokens at half pace.
-            typical_[reading].push_back({c.aim_per_1000 > 0 ? c.aim_per_1000 : c.aim / 20});
-            typical_[waiting].push_back({c.aim / 12});
-            typical_[streaming].push_back({std::max(50 * c.token_aim, c.aim)});
+            completion_times_[reading].emplace_back(c.aim_per_1000 > 0 ? c.aim_per_1000 : c.aim / 20,
+                                                    kPriorWeight);
+            completion_times_[waiting].emplace_back(c.aim / 12, kPriorWeight);
+            completion_times_[streaming].emplace_back(std::max(50 * c.token_aim, c.aim), kPriorWeight);
         }
-        quick_ = {Quick{typical_[reading][0].prior}, Quick{typical_[waiting][0].prior / 4}};
+        low_quantile_ = {
+            QuantileEstimate(kLowQuantile, kQuantileStep, completion_times_[reading][0].prior()),
+            QuantileEstimate(kLowQuantile, kQuantileStep, completion_times_[waiting][0].prior() / 4)};
         need(s_.gateways > 0, "gateways: at least one");
         need(s_.max_attempts > 0, "max_attempts: at least one");
         for (const auto& t : s_.tenants) quota_left_.push_back(burst(t));
@@ -214,9 +186,10 @@
         by_serial_[r.serial] = a.request;
         arrivals_.add(now_);
         const double seen = static_cast<double>(std::min<std::uint64_t>(serial_, 30));
-        if (a.prefix) ++beginnings_[a.prefix];
+        if (a.prefix) ++openings_[a.prefix];
         ++seen_;
-        prompt_ += (a.prompt_tokens - prompt_) / seen, fresh_ += (fresh(r) - fresh_) / seen;
+        prompt_ += (a.prompt_tokens - prompt_) / seen;
+        fresh_ += (fresh(r) - fresh_) / seen;
         if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
@@ -228,7 +201,7 @@
         const auto it = requests_.find(o.request);
         if (it == requests_.end() || !it->second.out || o.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
-        if (r.stage != streaming) quicken(r, o.result == Result::read_done);
+        if (r.stage != streaming) observe_time(r, o.result == Result::read_done);
         if (server) settle(*server, r, o);
         // A stream that was called off just as it began, and after all is still owed an answer.
         if (!o.closed && r.stage == streaming && r.ended && !r.final) r.ended = false;
@@ -237,11 +210,16 @@
         const bool never_ran =
             o.result == Result::full || o.result == Result::unreachable || o.result == Result::not_sent;
         if (wrote && !never_ran && o.result != Result::read_done && !r.may_have_run) {
-            r.may_have_run = true, r.ran_at = o.server, r.ran_sent = r.handed;
+            r.may_have_run = true;
+            r.ran_at = o.server;
+            r.ran_sent = r.handed;
         }
         const bool no_state = o.result == Result::full && o.note == 1;
         if (no_state) hold(r, false);
-        if (o.result == Result::read_done) r.reader = o.server, hold(r, true);
+        if (o.result == Result::read_done) {
+            r.reader = o.server;
+            hold(r, true);
+        }
         if (o.result != Result::unreachable && o.result != Result::not_sent) r.kept_since = now_;
         if (o.closed) r.ended = true;
         if (r.ended) return finish(r);
@@ -257,7 +235,7 @@
         if (it == requests_.end() || !it->second.out || f.attempt != it->second.attempts - 1) return;
         Request& r = it->second;
         if (Server* s = find(r.server)) {
-            quicken(r, true);
+            observe_time(r, true);
             s->failed[cls(r)] = -kNever;
             sample(*s, r, waiting);
             move(*s, r, streaming);
@@ -294,10 +272,13 @@
                 s.errors = 0;
                 s.slow = {};
                 s.failed.assign(s_.classes.size(), -kNever);
-                s.others = 0, s.heard = -kNever, s.memory_share = -1;
+                s.others = 0;
+                s.heard = -kNever;
+                s.memory_share = -1;
                 if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
             }
-            s.entry = entry, s.listed = now_;
+            s.entry = entry;
+            s.listed = now_;
             s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
         }
         survey(0);
@@ -352,20 +333,25 @@
         // Guards against writers kept busy with late answers, which earn little: when others wait and the aim
         // is out of reach, the read is given up. May do harm where late answers are worth much.
         if (r.state && !r.a.resumed && to->out[waiting] > 1 &&
-            now_ - r.arrived + usual(waiting, r).value() * (to->out[waiting] + 1) > aim(r)) {
+            now_ - r.arrived + completion_time(waiting, r).value() * (to->out[waiting] + 1) > aim(r)) {
             return end(r);
         }
         send(r, *to, stage);
     }
 
     void send(Request& r, Server& s, Stage stage) {
-        r.out = true, r.stopped = r.excused = false, r.stage = stage, r.server = s.entry.server;
+        r.out = true;
+        r.stopped = false;
+        r.excused = false;
+        r.stage = stage;
+        r.server = s.entry.server;
         r.sent = r.handed = now_;
         ++r.attempts;
         ++s.out[stage];
         r.units = s.out[waiting];  // this one counted
         if (stage == reading) {
-            s.held += r.a.prompt_tokens, s.to_read += fresh(r);
+            s.held += r.a.prompt_tokens;
+            s.to_read += fresh(r);
             r.units = s.to_read;
         }
         s.sends.add(now_);
@@ -382,7 +368,7 @@
         if (!sparse()) return std::min(left, std::max(6 * expected(r, stage), 0.6 * aim(r)));
         // A read is work that is done anew elsewhere, so in a jam early time-outs double the load. Does harm
         // where a reader is silent: its reads are late, the first from each gateway.
-        return std::min(left, std::max(kQuickTimes * quick_[stage].value * span(r, stage),
+        return std::min(left, std::max(kTimeoutQuantiles * low_quantile_[stage].value() * span(r, stage),
                                        kPatience[stage == reading && blind() ? 0 : 1] * aim(r)));
     }
 
@@ -391,7 +377,7 @@
         return stage == reading ? r.units : 0.2 + r.a.prompt_tokens / 1000;
     }
 
-    void quicken(const Request& r, bool done) {
+    void observe_time(const Request& r, bool done) {
         // What a cell's readers and, for states that leave it, its link take of the aims.
         const Server* reader = find(r.stage == reading ? r.server : r.reader);
         const Server* server = find(r.server);
@@ -401,12 +387,15 @@
             c.reads += r.stage == reading;
         }
         const double took = (now_ - r.sent) / span(r, r.stage);
-        if (done || took > quick_[r.stage].value) quick_[r.stage].add(took);
+        if (done || took > low_quantile_[r.stage].value()) low_quantile_[r.stage].add(took);
     }
 
     static void take_off(Server& s, const Request& r) {
         --s.out[r.stage];
-        if (r.stage == reading) s.held -= r.a.prompt_tokens, s.to_read -= fresh(r);
+        if (r.stage == reading) {
+            s.held -= r.a.prompt_tokens;
+            s.to_read -= fresh(r);
+        }
     }
 
     // The attempt out is over: takes it off its server's count.
@@ -496,7 +485,10 @@
         if (fit.empty()) return nullptr;
         double known = 0, heard = 0;
         for (Server* s : fit) {
-            if (now_ - s->heard < kRateSpan) known += s->others / memory(*s), ++heard;
+            if (now_ - s->heard < kRateSpan) {
+                known += s->others / memory(*s);
+                ++heard;
+            }
         }
         std::vector<double> load;
         double least = kNever, sum = 0;
@@ -527,9 +519,10 @@
             double own = 0, all = 0;
             for (const Server* s : fit) {
                 const double part = std::pow(pull(*s), blind() ? 4 : 2);
-                all += part, own += s->entry.zone == s_.own_zone ? part : 0;
+                all += part;
+                own += s->entry.zone == s_.own_zone ? part : 0;
             }
-            const bool stays = !sparse() || fraction(r.a.session, 0) * all <= own * s_.zones;
+            const bool stays = !sparse() || hash_fraction(r.a.session, 0) * all <= own * s_.zones;
             const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
             if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
         }
@@ -541,9 +534,10 @@
         if (const std::uint64_t key = own ? r.a.session : r.a.prefix) {
             std::vector<std::pair<double, Server*>> by;
             for (Server* s : near)
-                by.push_back({-std::log(fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
-            const std::size_t homes = own ? 1 : std::min(by.size(), homes_of(r.a.prefix, fit.size()));
-            const auto rank = static_cast<std::size_t>(fraction(r.a.session, 1) * static_cast<double>(homes));
+                by.push_back({-std::log(hash_fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
+            const std::size_t homes = own ? 1 : std::min(by.size(), homes_of_opening(r.a.prefix, fit.size()));
+            const auto rank =
+                static_cast<std::size_t>(hash_fraction(r.a.session, 1) * static_cast<double>(homes));
             const auto at = by.begin() + static_cast<std::ptrdiff_t>(rank);
             std::nth_element(by.begin(), at, by.end());
             return at->second;
@@ -559,10 +553,10 @@
     // How many readers share a beginning. Guards against a hot beginning whose home jams, as where visits are
     // rare no own queue shows it: none carries more than so many times a reader's mean of one beginning. A
     // session keeps its rank among them. May do harm by texts read anew at each of them.
-    std::size_t homes_of(std::uint64_t prefix, std::size_t readers) const {
+    std::size_t homes_of_opening(std::uint64_t prefix, std::size_t readers) const {
         if (!sparse()) return 1;
-        const auto seen = beginnings_.find(prefix);
-        if (seen == beginnings_.end()) return 1;
+        const auto seen = openings_.find(prefix);
+        if (seen == openings_.end()) return 1;
         const double part = (seen->second - 1) / (kFewSeen + seen_);
         return 1 + static_cast<std::size_t>(part * static_cast<double>(readers) / kHomeLoad);
     }
@@ -674,7 +668,7 @@
         const double sent = static_cast<double>(s.recent.size());
         const double carried = usual_rate_[role] * s_.fall_window;
         if (s_.gateways <= kFewGateways) return sent + 1 <= std::max(1.0, share * carried);
-        const double draw = fraction(seed_ + r.serial, s.entry.server);
+        const double draw = hash_fraction(seed_ + r.serial, s.entry.server);
         return sent + draw < share * std::max(unshunned_[role], carried);
     }
 
@@ -701,14 +695,22 @@
         switch (o.result) {
             case Result::served:
             case Result::read_done:
-                s.answered = now_, s.failed[cls(r)] = -kNever, s.broken = false;
+                s.answered = now_;
+                s.failed[cls(r)] = -kNever;
+                s.broken = false;
                 if (o.result == Result::read_done) sample(s, r, reading);
                 if (r.stage == streaming) sample(s, r, streaming);
                 s.errors *= 1 - kErrorStep;
                 if (!early && s.suspect) {
-                    if (s.was_down) s.cold_since = now_, s.was_down = false;
+                    if (s.was_down) {
+                        s.cold_since = now_;
+                        s.was_down = false;
+                    }
                     s.allow *= 2;
-                    if (s.allow > kTrusted) s.suspect = false, s.pause = 0;
+                    if (s.allow > kTrusted) {
+                        s.suspect = false;
+                        s.pause = 0;
+                    }
                 }
                 return;
             case Result::unreachable:
@@ -718,13 +720,13 @@
                 s.failed[cls(r)] = now_;
                 if (!std::exchange(s.broken, true) && !s.suspect) return;
                 s.was_down = true;
-                if (!early) doubt(s);
+                if (!early) suspect_server(s);
                 return;
             case Result::full:
-                if (o.note != 1) s.full_until = now_ + usual(waiting, r).value();
+                if (o.note != 1) s.full_until = now_ + completion_time(waiting, r).value();
                 return;
             case Result::late:
-                haunt(s, r);
+                keep_abandoned_read(s, r);
                 if (r.stopped) return;
                 [[fallthrough]];
             case Result::reset:
@@ -737,10 +739,10 @@
                 if (early) return;
                 s.errors += kErrorStep * (o.result == Result::reset ? kResetWeight : 1) * (1 - s.errors);
                 // With few visits no second failure comes in time to confirm the first.
-                if (s.suspect || ((s.errors > kErrorFlag || sparse()) && minority(s))) doubt(s);
+                if (s.suspect || ((s.errors > kErrorFlag || sparse()) && minority(s))) suspect_server(s);
                 return;
             case Result::cancelled:
-                haunt(s, r);
+                keep_abandoned_read(s, r);
                 if (r.stopped && !r.excused) s.failed[cls(r)] = now_;
                 return;
             case Result::not_sent:
@@ -749,25 +751,29 @@
     }
 
     // A read that was given up on may still run: its memory counts for as long again as it has run.
-    void haunt(Server& s, const Request& r) {
+    void keep_abandoned_read(Server& s, const Request& r) {
         if (r.stage != reading) return;
-        s.ghosts.push_back({now_ + (now_ - r.sent), r.a.prompt_tokens});
+        s.abandoned_reads.push_back({now_ + (now_ - r.sent), r.a.prompt_tokens});
         s.held += r.a.prompt_tokens;
     }
 
     // A suspect gets nothing for a while, then one request at a time, doubling with each success.
-    void doubt(Server& s) {
+    void suspect_server(Server& s) {
         // A trial of a down server costs little, one of a slow server a late answer; many trials add up.
         const Millis longest = (s.was_down && !sparse() ? 2 : 8) * min_aim_;
         s.pause = std::clamp(2 * s.pause, sparse() ? longest : min_aim_, longest);
-        s.suspect = true, s.suspected = now_, s.retry_at = now_ + s.pause;
-        s.allow = 1, s.errors = 0, s.slow = {};
+        s.suspect = true;
+        s.suspected = now_;
+        s.retry_at = now_ + s.pause;
+        s.allow = 1;
+        s.errors = 0;
+        s.slow = {};
     }
 
     // Whether a server is met too seldom for own queues to show the load: the list and times seen stand in.
     bool sparse() const {
         return s_.gateways > kFewGateways &&
-               usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kUsualSpan < 1;
+               usual_rate_[static_cast<std::size_t>(s_.kinds[0].role)] * kCompletionSpan < 1;
     }
 
     // Nor do reports show it: a jam is met by chance, and what is met must be trusted less and acted on more.
@@ -787,7 +793,7 @@
     // A finished stage speaks against its server being slow.
     void sample(Server& s, const Request& r, Stage stage) {
         s.slow[stage] = std::max(0.0, s.slow[stage] - std::log(kSlowFactor));
-        if (!s.suspect) usual(stage, r).end();
+        if (!s.suspect) completion_time(stage, r).add_completion();
     }
 
     // Sequential test of each server against its peers: work that is out speaks for slowness as it ages, each
@@ -815,21 +821,22 @@
                 double& e = s->slow[r.stage];
                 e = std::min(2 * kSlowEvidence, e + dt / expects * (1 - 1 / kSlowFactor));
             }
-            if (!s->suspect) usual(r.stage, r).out(dt / r.units);
+            if (!s->suspect) completion_time(r.stage, r).add_time(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
         survey(dt);
-        const double keep = std::exp(-dt / kUsualSpan / 10);
+        const double keep = std::exp(-dt / kCompletionSpan / 10);
         seen_ *= keep;
-        for (auto& [prefix, count] : beginnings_) count *= keep;
-        std::erase_if(beginnings_, [](const auto& b) { return b.second < 0.05; });
-        for (auto& stage : typical_) {
-            for (auto& u : stage) u.fade(std::exp(-dt / kUsualSpan), std::exp(-dt / kUsualSpan / 10));
+        for (auto& [prefix, count] : openings_) count *= keep;
+        std::erase_if(openings_, [](const auto& b) { return b.second < 0.05; });
+        for (auto& stage : completion_times_) {
+            for (auto& u : stage)
+                u.decay(std::exp(-dt / kCompletionSpan), std::exp(-dt / kCompletionSpan / 10));
         }
         for (auto& [id, s] : servers_) {
-            while (!s.ghosts.empty() && s.ghosts.front().first <= now_) {
-                s.held -= s.ghosts.front().second;
-                s.ghosts.pop_front();
+            while (!s.abandoned_reads.empty() && s.abandoned_reads.front().first <= now_) {
+                s.held -= s.abandoned_reads.front().second;
+                s.abandoned_reads.pop_front();
             }
         }
         std::vector<Server*> slow;
@@ -842,7 +849,7 @@
             }
         }
         for (Server* s : slow) {
-            doubt(*s);
+            suspect_server(*s);
             rescue(*s);
         }
     }
@@ -854,10 +861,12 @@
     void watch() {
         const Millis late = now_ - tick_due_;
         if (late <= tick()) return;
-        tick_due_ = now_, checked_ = std::min(now_, checked_ + late);
+        tick_due_ = now_;
+        checked_ = std::min(now_, checked_ + late);
         for (auto& [id, r] : requests_) {
             if (!r.out) continue;
-            r.sent = std::min(now_, r.sent + late), r.stage_since = std::min(now_, r.stage_since + late);
+            r.sent = std::min(now_, r.sent + late);
+            r.stage_since = std::min(now_, r.stage_since + late);
             r.excused = true;
         }
     }
@@ -871,13 +880,17 @@
     // not shun. By cell: shares of what is read and written and the readers' pull, by the list, so that
     // gateways agree; less where more of the aim was spent of late. Guards against jams and busier zones.
     void survey(Millis dt) {
-        const double keep = std::exp(-dt / kUsualSpan / 3);
+        const double keep = std::exp(-dt / kCompletionSpan / 3);
         double spent = 0, reads = 0, read = 0;
         std::map<int, Cell> zones;
         for (auto& [id, c] : cells_) {
-            spent += c.spent *= keep, reads += c.reads *= keep;
+            c.spent *= keep;
+            c.reads *= keep;
+            spent += c.spent;
+            reads += c.reads;
             c.read = c.write = 0;
-            zones[c.zone].spent += c.spent, zones[c.zone].reads += c.reads;
+            zones[c.zone].spent += c.spent;
+            zones[c.zone].reads += c.reads;
         }
         std::array<double, 3> sent{}, warm{}, left{}, listed{};
         for (const auto& [id, s] : servers_) {
@@ -885,14 +898,17 @@
             const auto role = static_cast<std::size_t>(s.role);
             ++listed[role];
             Cell& c = cells_[s.entry.cell];
-            c.zone = s.entry.zone, c.read += s.role == Role::read, c.write += s.writes();
+            c.zone = s.entry.zone;
+            c.read += s.role == Role::read;
+            c.write += s.writes();
             if (s.suspect) continue;
             ++left[role];
             if (now_ - s.cold_since < s_.warm_within) continue;
-            ++warm[role], sent[role] += s.sends.read(now_);
+            ++warm[role];
+            sent[role] += s.sends.read(now_);
         }
         for (std::size_t role = 0; role < 3; ++role) {
-            usual_rate_[role] *= std::exp(-dt / kUsualSpan / 10);
+            usual_rate_[role] *= std::exp(-dt / kCompletionSpan / 10);
             if (warm[role] > 0) usual_rate_[role] = std::max(usual_rate_[role], sent[role] / warm[role]);
             if (listed[role] > 0) unshunned_[role] = left[role] / listed[role];
         }
@@ -943,10 +959,10 @@
         }
         if (to_read >= kNever) to_read = 0;
         if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
-        const Millis write = usual(waiting, r).value();
+        const Millis write = completion_time(waiting, r).value();
         // A queue is as long for a long prompt as for a usual one.
         const double own = std::min(fresh(r), fresh_);
-        const Millis read = r.state ? 0 : usual(reading, r).value() * (to_read + own);
+        const Millis read = r.state ? 0 : completion_time(reading, r).value() * (to_read + own);
         return std::max(read + write, write * (1 + ahead / std::max(1.0, writers)));
     }
 
@@ -975,7 +991,7 @@
         }
         if (r.a.resumed) return false;
         // What it takes by itself is no queue: guards against long prompts refused whatever the load.
-        const Millis pace = std::min(quick_[reading].value, usual(reading, r).value());
+        const Millis pace = std::min(low_quantile_[reading].value(), completion_time(reading, r).value());
         const Millis room = std::max(aim(r) - pace * fresh(r), kRoomLeast * aim(r));
         const Millis queue = wait(r) - pace * std::min(fresh(r), fresh_);
         // Guards against a gateway that met a jammed server and refuses while others idle: what it foresees
@@ -994,8 +1010,10 @@
     static double fresh(const Request& r) {
         return 0.2 + std::max(0.0, r.a.prompt_tokens - r.a.prefix_tokens) / 1000;
     }
-    Usual& usual(Stage stage, const Request& r) { return typical_[stage][stage == reading ? 0 : cls(r)]; }
-    Millis expected(const Request& r, Stage stage) { return usual(stage, r).value() * r.units; }
+    CompletionTime& completion_time(Stage stage, const Request& r) {
+        return completion_times_[stage][stage == reading ? 0 : cls(r)];
+    }
+    Millis expected(const Request& r, Stage stage) { return completion_time(stage, r).value() * r.units; }
     std::size_t cls(const Request& r) const { return static_cast<std::size_t>(r.a.cls); }
     Millis aim(const Request& r) const {
         const ClassSettings& c = s_.classes[cls(r)];
@@ -1006,7 +1024,7 @@
         const auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
-    double uniform() { return unit(random_()); }
+    double uniform() { return numeric::unit_interval(random_()); }
     void ask() {
         asked_ = now_;
         act(Subscribe{});
@@ -1027,13 +1045,14 @@
     std::map<std::uint64_t, RequestId> by_serial_;
     std::uint64_t serial_ = 0;
     double retries_ = 0;
-    Rate arrivals_;
-    bool reports_ = false;                        // servers tell of their load
-    std::map<std::uint64_t, double> beginnings_;  // arrivals by shared beginning, fading
-    double seen_ = 0;                             // arrivals in all, fading
-    double prompt_ = 0, fresh_ = 0;               // usual length, and usual thousands of tokens to read of it
-    std::array<std::vector<Usual>, 3> typical_;
-    std::array<Quick, 2> quick_;
+    DecayingRate arrivals_{kRateSpan};
+    bool reports_ = false;                      // servers tell of their load
+    std::map<std::uint64_t, double> openings_;  // arrivals by shared beginning, fading
+    double seen_ = 0;                           // arrivals in all, fading
+    double prompt_ = 0, fresh_ = 0;             // usual length, and usual thousands of tokens to read of it
+    std::array<std::vector<CompletionTime>, 3> completion_times_;
+    std::array<QuantileEstimate, 2> low_quantile_{QuantileEstimate(kLowQuantile, kQuantileStep, 1),
+                                                  QuantileEstimate(kLowQuantile, kQuantileStep, 1)};
     std::array<double, 3> usual_rate_{}, unshunned_{1, 1, 1};  // by role: see survey
     std::vector<double> quota_left_;
     std::map<std::size_t, Millis> quota_at_;
