Soak: real gateways under overlapping troubles from a seed, judged from sockets alone

Gateways run as `run` starts them on loopback; stand-ins of model servers and of discovery agents, clients and a preloaded library (system calls, wall clock) misbehave by a schedule drawn whole from a seed, two or three troubles at a time, most aimed at a moment that has been seen. Faults of the paths sit in the peers' own sockets and in the preloaded library, not in a proxy: both ends are the soak's.

--- /dev/null
+++ b/tests/soak/discovery.mjs
@@ -0,0 +1,123 @@
+// Stand-ins of discovery: agents on each gateway's machine, all fed by one list. An agent answers at once with what it has,
+// keeps a watch open, and misbehaves as told. Each counts its versions by itself, as a discovery at another address does.
+// When a gateway counts as told of a change is kept here.
+import net from 'node:net';
+import { PORT } from './addresses.mjs';
+import { RequestReader } from './http.mjs';
+
+const SILENT_COUNTS_AFTER = 6000, RELOAD_COUNTS_AFTER = 4000;  // ms; by the platform's pages
+
+export class Discovery {
+  constructor(world) {
+    this.world = world;
+    this.seq = 1;
+    this.down = false;
+    this.agents = [];
+    this.changes = [];  // {seq, at, server, health}
+  }
+  get list() { return this.world.servers.filter((s) => s.health !== 'removed').map((s) => s.host); }
+  publish(server, health) {
+    ++this.seq;
+    server.health = health;
+    this.changes.push({ seq: this.seq, at: this.world.now(), server: server.name, health });
+    for (const agent of this.agents) agent.changed();
+  }
+  setDown(down) {
+    this.down = down;
+    if (!down) for (const agent of this.agents) agent.changed();
+  }
+}
+
+export class Agent {
+  constructor(discovery, gateway, address) {
+    Object.assign(this, { discovery, gateway, address, world: discovery.world });
+    this.offset = discovery.agents.length % 2 === 0 ? 100000 : 0;  // of its versions
+    this.mode = '';        // '', silent, slow, refused
+    this.seq = discovery.seq;
+    this.deadlines = [];   // {seq, at}: all up to seq counts as told from then on
+    this.open = new Set();
+    discovery.agents.push(this);
+  }
+  async listen() {
+    this.server = net.createServer((socket) => this.accept(socket));
+    await new Promise((done) => this.server.listen(PORT, this.address, done));
+    return this;
+  }
+  // Told at the latest, by the state in which it is when it learns of a change.
+  changed() {
+    if (this.discovery.down) return;
+    this.seq = this.discovery.seq;
+    if (this.gateway.agent !== this) return;  // nobody listens here
+    const now = this.world.now();
+    const broken = this.mode !== '' || [...this.open].some((c) => c.silentSince >= 0);
+    this.told(broken ? now + SILENT_COUNTS_AFTER : now);
+    for (const connection of this.open) connection.changed();
+  }
+  told(at) { this.deadlines.push({ seq: this.seq, at }); }
+  reloaded() {
+    this.told(this.world.now() + (this.mode === '' ? RELOAD_COUNTS_AFTER : SILENT_COUNTS_AFTER));
+  }
+  toldBy(seq) {
+    let at = Infinity;
+    for (const d of this.deadlines) if (d.seq >= seq) at = Math.min(at, d.at);
+    return at;
+  }
+  reset() { for (const c of [...this.open]) c.socket.resetAndDestroy(); }
+  refuse(on) {
+    if (on) { this.server.close(); this.reset(); return; }
+    this.server = net.createServer((socket) => this.accept(socket));
+    this.server.on('error', () => setTimeout(() => this.refuse(false), 50));
+    this.server.listen(PORT, this.address);
+  }
+  stop() { this.server.close(); this.reset(); }
+  accept(socket) { new AgentConnection(this, socket); }
+}
+
+class AgentConnection {
+  constructor(agent, socket) {
+    Object.assign(this, { agent, socket, world: agent.world });
+    this.waiting = null;  // {from}
+    this.silentSince = -1;
+    agent.open.add(this);
+    socket.setEncoding('latin1');
+    this.reader = new RequestReader({ onFirstByte: () => {}, onRequest: (r) => this.request(r), onError: () => socket.destroy() });
+    socket.on('data', (bytes) => this.reader.feed(bytes));
+    socket.on('error', () => {});
+    socket.on('close', () => agent.open.delete(this));
+  }
+  request(request) {
+    const url = new URL(request.target, 'http://x');
+    const from = url.searchParams.get('from');
+    if (this.agent.reload && this.agent.reload.askedAt < 0) this.agent.reload.askedAt = this.world.now();
+    if (from === null) return this.answer();
+    this.waiting = { from: Number(from) - this.agent.offset };
+    const hold = Number(url.searchParams.get('hold_ms'));
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => { if (this.waiting) this.answer(); }, hold);
+    if (this.agent.seq > this.waiting.from) this.answer();
+  }
+  changed() { if (this.waiting && this.agent.seq > this.waiting.from) this.answer(); }
+  answer() {
+    const { agent } = this;
+    if (agent.discovery.down || this.silentSince >= 0 || this.socket.destroyed) return;
+    this.waiting = null;
+    const body = JSON.stringify({ seq: agent.seq + agent.offset, whole: true, hosts: agent.discovery.list });
+    const head = `HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n`;
+    if (agent.mode === 'slow') return this.trickle(head + body);
+    this.socket.write(head + body);
+    agent.told(this.world.now());
+  }
+  trickle(text) {
+    const seq = this.agent.seq;
+    const piece = Math.ceil(text.length / 10);
+    let at = 0;
+    const step = () => {
+      if (this.socket.destroyed || this.silentSince >= 0) return;
+      this.socket.write(text.slice(at, at + piece));
+      at += piece;
+      if (at < text.length) return setTimeout(step, 100);
+      this.agent.deadlines.push({ seq, at: this.world.now() });
+    };
+    step();
+  }
+}
