--- /dev/null
+++ b/tests/life/faults.test.mjs
@@ -0,0 +1,95 @@
+// `gorsenotch node` where system calls fail for a moment, and where its configuration is half written as it is told to read
+// it again: the preloaded library of the soak fails them (tests/soak/faults.c; FAULTS_LIBRARY names it).
+import assert from 'node:assert/strict';
+import { mkdtempSync, unlinkSync, writeFileSync } from 'node:fs';
+import net from 'node:net';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { after, before, test } from 'node:test';
+import { Faults } from '../soak/faults.mjs';
+import { Discovery, Engine, Gateway, sleep, until } from './platform.mjs';
+
+const library = process.env.FAULTS_LIBRARY;
+let reader, writer, discovery;
+before(async () => {
+  assert.ok(library, 'FAULTS_LIBRARY is not set');
+  reader = await new Engine().start('r1', 'read');
+  writer = await new Engine().start('w1', 'write');
+  discovery = await new Discovery().start([reader.host(), writer.host()]);
+});
+after(() => { for (const s of [reader, writer, discovery]) s.stop(); });
+
+const newFaults = () => new Faults(path.join(mkdtempSync(path.join(tmpdir(), 'gorsenotch-faults-')), 'faults'), 1);
+const underFaults = (faults) => ({ LD_PRELOAD: library, FAULTS_FILE: faults.file,
+  ASAN_OPTIONS: 'verify_asan_link_order=0:detect_leaks=0' });
+async function startUnder(faults, options = {}) {
+  return new Gateway().start(discovery.port, [reader.host(), writer.host()], { env: underFaults(faults), ...options });
+}
+// A client that has connected and sent its request before the process can accept it.
+function waiting(gateway, txn) {
+  return new Promise((done) => {
+    let text = '';
+    const s = net.connect(gateway.port, '127.0.0.1', () => s.write(`POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${txn}\r\n` +
+      'x-lane: chat\r\nx-org: acme\r\nx-remaining: 2500m\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{}'));
+    s.on('data', (d) => { text += d; });
+    s.on('error', (e) => { text += e.code; });
+    s.on('close', () => done(text));
+  });
+}
+
+test('an accept that fails for a moment closes nothing that waits', async () => {
+  const faults = newFaults(), gateway = await startUnder(faults);
+  for (const error of ['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'EINTR']) {
+    faults.set('accept', error, 1);
+    const asked = Promise.all(Array.from({ length: 8 }, (_, i) => waiting(gateway, `accept-${error}-${i}`)));
+    await until(`an accept that fails with ${error}`, () => faults.given('accept') > 0);
+    await sleep(150);
+    faults.clear('accept');
+    for (const text of await asked) assert.match(text, /^HTTP\/1.1 200 [^]*\[DONE\]/, `${error}: ${text}`);
+  }
+  // With ECONNABORTED the connection itself is gone; those behind it are taken all the same.
+  faults.set('accept', 'ECONNABORTED', 0.5);
+  const answers = await Promise.all(Array.from({ length: 30 }, (_, i) => waiting(gateway, `aborted-${i}`)));
+  faults.clear('accept');
+  const served = answers.filter((text) => /\[DONE\]/.test(text)).length;
+  assert.ok(served > 0, 'some are served');
+  assert.ok(answers.every((text) => /\[DONE\]/.test(text) || text === 'ECONNRESET'), answers.join('|'));
+  await gateway.end();
+});
+
+test('a listener that cannot be had for a moment is tried again', async () => {
+  for (const [call, error] of [['socket', 'ENOBUFS'], ['listen', 'ENOBUFS'], ['socket', 'EMFILE']]) {
+    const faults = newFaults();
+    faults.set(call, error, 1);
+    const gateway = await startUnder(faults, { ready: false });
+    await until('the first try', () => faults.given(call) > 0);
+    await sleep(600);
+    faults.clear(call);
+    await until(`ready after ${call} ${error}`, () => /"ready"/.test(gateway.err), 3000);
+    assert.equal((await gateway.ask(`listener-${call}-${error}`)).status, 200);
+    await gateway.end();
+  }
+});
+
+test('SIGHUP with a file that is half written or gone is carried out once the file is whole', async () => {
+  const gateway = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  for (const how of ['half', 'gone', 'unchanged for a while']) {
+    const next = await new Discovery().start([reader.host('draining'), writer.host()], 50);
+    if (how === 'gone') unlinkSync(gateway.file);
+    else writeFileSync(gateway.file, '{"name":"n0","listen":"127.0');
+    gateway.child.kill('SIGHUP');
+    await sleep(how === 'half' ? 20 : 700);
+    assert.equal(next.calls, 0);
+    gateway.write(next.port);
+    await until(`the new discovery, the file ${how}`, () => next.waiting.length === 1, 2500);
+    assert.equal((await gateway.ask(`torn-${how.slice(0, 4)}`)).status, 503, 'its drain is kept');
+    next.stop();
+    const back = await new Discovery().start([reader.host(), writer.host()], 60);
+    gateway.write(back.port);
+    gateway.child.kill('SIGHUP');
+    await until('back', () => back.waiting.length === 1);
+    discovery.stop();
+    discovery = back;
+  }
+  await gateway.end();
+});
