Accept, listener, connections and SIGHUP try again what this host refuses for a moment

Seen with the soak: with EMFILE or ENFILE from accept libuv closes its spare descriptor, accepts and closes what waits unread (uv__emfile_trick): requests on accepted connections were lost. ENOBUFS from the listener's socket or listen ended the process with exit code 4 (Node::open).

Errors of system calls on sockets are classed in net/errors. The listener accepts by itself: for want of descriptors or memory it leaves what waits in the queue, ends one resting connection and tries again after 10 ms. A stop takes what is pending again until none is left. A connection that this host refuses is tried again within its dial time-out before the attempt counts as not sent; no server is blamed for it. A refused configuration is read again every 50 ms for 4 s, then every second for a minute. A write or FIN that libuv refuses at once ends the connection, so that its reader is told.

The test of a loop's open handles counts the listener's poll and timer too (9 where 7 were).

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -2,7 +2,13 @@
 
 #include <algorithm>
 
+#include "net/errors.h"
+
 namespace gorsenotch::gateway {
+namespace {
+constexpr Millis kDialPause =
+    10;  // until a connection is tried again that failed for want of this host's resources
+}
 
 struct Upstream::Link {
     std::unique_ptr<net::Stream> stream;
@@ -10,6 +16,7 @@
     std::string address, request;
     std::shared_ptr<Carried> carried;
     Links::iterator self;
+    Millis dial_until = 0;  // by then its connection is up, or the attempt is given up
     Millis idle_since = 0;
     Millis idle_for = -1;  // before the request it carries; below 0: it is new
     bool heard = false;    // a byte of the answer has come
@@ -99,18 +106,24 @@
         link.dial = std::make_unique<net::Timer>(loop_, [this, &link] { connected(link, UV_EMFILE); });
         return link.dial->after(0);
     }
+    link.dial_until = net::now() + config_.dial_timeout;
+    dial(link);
+}
+
+// Opens the link's connection. Whatever the outcome, it is told by the loop's next turn: callers of start()
+// may not be called back from here.
+void Upstream::dial(Link& link) {
     link.stream = std::make_unique<net::Stream>(loop_);
     link.stream->on_data = [this, &link](std::string_view b) { data(link, b); };
     link.stream->on_end = [this, &link](int) { ended(link); };
     const int error =
-        link.stream->connect(address, config_.source, [this, &link](int e) { connected(link, e); });
-    // Whatever the outcome, it is told by the loop's next turn: callers may not be called back from here.
+        link.stream->connect(link.address, config_.source, [this, &link](int e) { connected(link, e); });
     link.dial = std::make_unique<net::Timer>(
         loop_, [this, &link, error] { connected(link, error != 0 ? error : UV_ETIMEDOUT); });
     if (error != 0) {
         link.dial->after(0);
     } else {
-        link.dial->after_look(config_.dial_timeout);
+        link.dial->after_look(std::max(0.0, link.dial_until - net::now()));
     }
 }
 
@@ -118,10 +131,16 @@
     if (link.gone || link.connected) return;
     if (link.dial) link.dial->stop();
     if (error != 0) {
+        // Guards against a server blamed, or an attempt lost, for what this host is short of for a moment.
+        const auto what = net::classify_open_error(error);
+        const bool own = what == net::ErrorClass::host_resources || what == net::ErrorClass::retry_now;
+        if (own && link.stream && net::now() + kDialPause < link.dial_until) {
+            link.dial = std::make_unique<net::Timer>(loop_, [this, &link] { dial(link); });
+            return link.dial->after(kDialPause);
+        }
         const auto carried = link.carried;
         erase(link);
-        // Descriptors or ports that ran out are this host's trouble, not the engine's.
-        if (error == UV_EMFILE || error == UV_ENFILE || error == UV_EADDRNOTAVAIL) return carried->not_sent();
+        if (own) return carried->not_sent();
         return carried->refused_dial();
     }
     link.connected = true;
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -52,6 +52,7 @@
     void attach(Link& link, std::string request);
     Link* spare(const std::string& address);
     bool make_room();
+    void dial(Link& link);
     void connected(Link& link, int error);
     void data(Link& link, std::string_view bytes);
     void ended(Link& link);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -16,6 +16,8 @@
 #include <cstdlib>
 #include <cstring>
 
+#include "net/errors.h"
+
 namespace gorsenotch::net {
 
 std::string text(int code) { return code == 0 ? "closed by the peer" : uv_strerror(code); }
@@ -367,12 +369,24 @@
     if (e != 0) {
         h_->in_flight -= w->bytes.size();
         delete w;
+        break_off();
     }
 }
 
 void Stream::shut() {
+    if (h_->closing) return;
     auto* req = new uv_shutdown_t;
-    if (uv_shutdown(req, h_->stream(), [](uv_shutdown_t* r, int) { delete r; }) != 0) delete req;
+    if (uv_shutdown(req, h_->stream(), [](uv_shutdown_t* r, int) { delete r; }) == 0) return;
+    delete req;
+    break_off();
+}
+
+// Guards against bytes or a FIN that the system refused at once and nobody is told of: the connection is over
+// for both sides, and its reader hears of that in the loop's next turn. Does nothing where it is over
+// already.
+void Stream::break_off() {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &fd) == 0) ::shutdown(fd, SHUT_RDWR);
 }
 
 void Stream::reset() {
@@ -420,67 +434,123 @@
 
 // ---- Listener -------------------------------------------------------------------------------------------
 
+// Accepts by itself: libuv's listener closes a spare descriptor and then what waits, unread, where accept
+// fails for want of one.
 struct Listener::Handle {
-    uv_tcp_t uv{};
+    uv_tcp_t uv{};  // holds the socket
+    uv_poll_t poll{};
+    uv_timer_t retry{};
     Listener* owner = nullptr;
     Loop* loop = nullptr;
+    int fd = -1;  // of the socket, once it listens
+    int open_handles = 1;
+
+    void watch() {
+        uv_poll_start(&poll, UV_READABLE, [](uv_poll_t* p, int, int) {
+            auto* handle = static_cast<Handle*>(p->data);
+            if (handle->owner) handle->owner->accept_pending(kMostAtOnce);
+        });
+    }
+    // What waits stays in the system's queue meanwhile.
+    void rest() {
+        uv_poll_stop(&poll);
+        uv_timer_start(
+            &retry, [](uv_timer_t* t) { static_cast<Handle*>(t->data)->watch(); }, kAcceptPause, 0);
+    }
+    static void closed(uv_handle_t* h) {
+        auto* handle = static_cast<Handle*>(h->data);
+        if (--handle->open_handles == 0) delete handle;
+    }
+    void close() {
+        owner = nullptr;
+        if (open_handles > 1) {
+            uv_close(reinterpret_cast<uv_handle_t*>(&retry), closed);
+            uv_close(reinterpret_cast<uv_handle_t*>(&poll), closed);
+        }
+        // Last, as the loop must not watch a descriptor that is another's by then.
+        uv_close(reinterpret_cast<uv_handle_t*>(&uv), closed);
+    }
+
+    static constexpr int kMostAtOnce = 64;             // connections accepted in one turn of the loop
+    static constexpr std::uint64_t kAcceptPause = 10;  // ms until accept is tried again
 };
 
 Listener::Listener(Loop& loop) : h_(new Handle) {
     uv_tcp_init(loop.raw(), &h_->uv);
-    h_->uv.data = h_;
+    h_->uv.data = h_->poll.data = h_->retry.data = h_;
     h_->owner = this;
     h_->loop = &loop;
 }
 
-Listener::~Listener() {
-    h_->owner = nullptr;
-    uv_close(reinterpret_cast<uv_handle_t*>(&h_->uv),
-             [](uv_handle_t* u) { delete static_cast<Handle*>(u->data); });
-}
+Listener::~Listener() { h_->close(); }
 
 int Listener::listen(const std::string& address, int backlog) {
     sockaddr_storage a{};
     if (!parse_address(address, a)) return UV_EINVAL;
-    if (const int e = uv_tcp_bind(&h_->uv, reinterpret_cast<sockaddr*>(&a), 0)) return e;
-    return uv_listen(reinterpret_cast<uv_stream_t*>(&h_->uv), backlog, [](uv_stream_t* s, int status) {
-        auto* h = static_cast<Handle*>(s->data);
-        if (!h->owner) return;
-        if (status < 0) {
-            if (h->owner->on_error) h->owner->on_error(status);
-            return;
-        }
-        auto stream = std::make_unique<Stream>(*h->loop);
-        const int e = uv_accept(s, stream->h_->stream());
-        if (e != 0) {
-            if (h->owner->on_error) h->owner->on_error(e);
-            return;
+    if (h_->fd >= 0) return UV_EALREADY;
+    const int fd = ::socket(a.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) return -errno;
+    const int on = 1;
+    const socklen_t size = a.ss_family == AF_INET6 ? sizeof(sockaddr_in6) : sizeof(sockaddr_in);
+    int code = 0;
+    if (::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
+        ::bind(fd, reinterpret_cast<sockaddr*>(&a), size) != 0 || ::listen(fd, backlog) != 0) {
+        code = -errno;
+    } else {
+        code = uv_tcp_open(&h_->uv, fd);
+    }
+    if (code != 0) {
+        ::close(fd);
+        return code;
+    }
+    if (const int e = uv_poll_init(h_->loop->raw(), &h_->poll, fd)) return e;
+    uv_timer_init(h_->loop->raw(), &h_->retry);
+    h_->open_handles = 3;
+    h_->fd = fd;
+    h_->watch();
+    return 0;
+}
+
+bool Listener::accept_pending(int most) {
+    Handle* handle = h_;
+    for (int taken = 0, failed = 0; taken + failed < most;) {
+        const int fd = ::accept4(handle->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int code = fd < 0 ? -errno : 0;
+        switch (classify_accept_error(code)) {
+            case ErrorClass::none:
+                break;
+            case ErrorClass::retry_now:
+                ++failed;
+                continue;
+            case ErrorClass::retry_later:
+                return true;
+            default:
+                handle->rest();
+                if (on_error) on_error(code);
+                return false;
         }
-        uv_tcp_nodelay(&stream->h_->uv, 1);
-        if (h->owner->on_stream) h->owner->on_stream(std::move(stream));
-    });
-}
-
-void Listener::take_pending() {
-    uv_os_fd_t listening = -1;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &listening) != 0) return;
-    for (;;) {
-        const int fd = ::accept4(listening, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd < 0) return;
-        auto stream = std::make_unique<Stream>(*h_->loop);
+        ++taken;
+        auto stream = std::make_unique<Stream>(*handle->loop);
         if (uv_tcp_open(&stream->h_->uv, fd) != 0) {
             ::close(fd);
             continue;
         }
         uv_tcp_nodelay(&stream->h_->uv, 1);
         if (on_stream) on_stream(std::move(stream));
+        if (!handle->owner) return true;  // destroyed in the callback
     }
+    return false;
+}
+
+bool Listener::take_pending() {
+    constexpr int kMostPending = 4096;
+    return h_->fd < 0 || accept_pending(kMostPending);
 }
 
 int Listener::port() const {
     sockaddr_storage a{};
-    int size = sizeof a;
-    if (uv_tcp_getsockname(&h_->uv, reinterpret_cast<sockaddr*>(&a), &size) != 0) return 0;
+    socklen_t size = sizeof a;
+    if (h_->fd < 0 || ::getsockname(h_->fd, reinterpret_cast<sockaddr*>(&a), &size) != 0) return 0;
     return ntohs(a.ss_family == AF_INET6 ? reinterpret_cast<sockaddr_in6*>(&a)->sin6_port
                                          : reinterpret_cast<sockaddr_in*>(&a)->sin_port);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -146,13 +146,16 @@
     friend class Listener;
     struct Handle;
     bool polled(short events) const;  // whether one of these, a hang-up or an error is there now
+    void break_off();
     Handle* h_;
 };
 
 class Listener {
 public:
     std::function<void(std::unique_ptr<Stream>)> on_stream;
-    std::function<void(int)> on_error;  // accepting failed, e.g. descriptors ran out; listening goes on
+    // Accepting failed for want of descriptors or memory. What waits stays where it is and accept is tried
+    // again soon; the owner may make room.
+    std::function<void(int)> on_error;
 
     explicit Listener(Loop& loop);
     ~Listener();
@@ -160,12 +163,13 @@
     Listener& operator=(const Listener&) = delete;
     int listen(const std::string& address, int backlog = 1024);
     // Hands on the connections that the system has accepted and nobody has taken yet: before it is destroyed,
-    // as that would reset them.
-    void take_pending();
+    // as that would reset them. False: some may be left, as accepting failed for now.
+    bool take_pending();
     int port() const;
 
 private:
     struct Handle;
+    bool accept_pending(int most);  // whether none is left
     Handle* h_;
 };
 
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -91,16 +91,25 @@
 int Clients::listen() {
     listener_ = std::make_unique<net::Listener>(loop_);
     listener_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s)); };
+    listener_->on_error = [this](int) { accept_failed(); };
     sweeper_.after(kSweep);
     return listener_->listen(config_.listen);
 }
 
+// Guards against connections that wait for as long as this process holds descriptors for idle ones. One for
+// each failure: a want that lasts ends them one by one, each with what came on it served.
+void Clients::accept_failed() {
+    ++tally_.accept_failed;
+    Conn* resting = longest_resting();
+    if (resting && retire(*resting)) ++tally_.evicted;
+}
+
 void Clients::drain() { draining_ = true; }
 
 void Clients::depart() {
     draining_ = departing_ = true;
-    if (listener_) listener_->take_pending();
-    listener_.reset();
+    // Where accepting fails for a moment what waits is taken by the next call.
+    if (listener_ && listener_->take_pending()) listener_.reset();
     for (auto it = all_.begin(); it != all_.end();) {
         Conn& c = **it++;
         if (c.resting()) retire(c);
--- a/src/platform/clients.h
+++ b/src/platform/clients.h
@@ -35,12 +35,15 @@
 
     int listen();  // 0 or a libuv code
     int port() const { return listener_ ? listener_->port() : 0; }
-    void drain();   // no longer ready; what comes is served still
-    void depart();  // listens no more; answers end their connections, idle ones close
+    void drain();  // no longer ready; what comes is served still
+    // Listens no more; answers end their connections, idle ones close. To be called until listening() is
+    // false.
+    void depart();
+    bool listening() const { return listener_ != nullptr; }
     std::size_t connections() const { return all_.size(); }
 
     struct Tally {
-        std::uint64_t accepted = 0, refused = 0, evicted = 0, silent = 0, bad = 0;
+        std::uint64_t accepted = 0, refused = 0, evicted = 0, silent = 0, bad = 0, accept_failed = 0;
     };
     const Tally& tally() const { return tally_; }
 
@@ -65,6 +68,7 @@
     void flush();
     void sweep();
     bool make_room();
+    void accept_failed();
     Conn* longest_ending();
     Conn* longest_resting();
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "log/log.h"
+#include "net/errors.h"
 #include "settings/xml.h"
 
 namespace gorsenotch::platform {
@@ -16,6 +17,10 @@
 constexpr Millis kStillServed = 600;  // after SIGTERM new connections keep coming for a while
 constexpr Millis kFirstList = 300;    // a process that starts waits so long for the list before it listens
 constexpr Millis kState = 5000;       // between two lines of state in the log
+constexpr Millis kListenRetry = 50;   // until the listener is tried again
+// A configuration that cannot be taken is read again: often at first, as discovery's new address counts as
+// told 4 s after the signal, then seldom, until it is given up.
+constexpr Millis kReloadRetry = 50, kReloadSoon = 4000, kReloadLateRetry = 1000, kReloadGivenUp = 60000;
 // Descriptors for everything but clients and servers: the loop, the log, discovery, connections that end.
 constexpr std::size_t kReserve = 24 + Clients::kEndingMost;
 
@@ -66,6 +71,7 @@
       ticker_(loop, [this] { return relay_.tick(); }),
       drainer_(loop, [this] { drain_step(); }),
       opener_(loop, [this] { open(); }),
+      reloader_(loop, [this] { try_reload(); }),
       status_(loop, [this] { status(); }) {
     relay_.on_wake() = [this] { ticker_.wake(); };
     loop_.on_sleep = [this](Millis due) { relay_.sleeps(due); };
@@ -113,19 +119,41 @@
     if (open_ || stopped_ > 0) return;
     open_ = true;
     opener_.stop();
-    if (const int e = clients_.listen()) return on_refused(e);
+    const int code = clients_.listen();
+    if (net::classify_open_error(code) == net::ErrorClass::host_resources) {
+        // Guards against a process that ends for a want of this host's that may be over in a moment.
+        open_ = false;
+        if (!std::exchange(listen_failed_, true))
+            log("warn", "listen_failed", net::text(code) + "; tried again");
+        return opener_.after(kListenRetry);
+    }
+    if (code != 0) return on_refused(code);
     log("info", "ready", config_.listen);
 }
 
 void Node::reload() {
+    reload_asked_ = net::now();
+    reload_refused_.clear();
+    try_reload();
+}
+
+// Guards against a file that cannot be read just as the signal comes (half written, gone or locked for a
+// moment): the old discovery would stay for good and what the new one tells be missed. May read a file that
+// is wrong for good for a minute in vain.
+void Node::try_reload() {
     std::string text, why;
-    if (!settings::read_file(file_, text, why)) return log("error", "reload_refused", "GW_CONFIG: " + why);
     try {
+        if (!settings::read_file(file_, text, why)) throw ConfigError("GW_CONFIG: " + why);
         const Config next = parse_config(text, config_.listen, config_.discovery);
         watch_.point(next.discovery);
         log("info", "reloaded", next.discovery);
     } catch (const std::exception& e) {
-        log("error", "reload_refused", e.what());
+        if (std::exchange(reload_refused_, e.what()) != e.what())
+            log("error", "reload_refused", std::string(e.what()) + "; tried again");
+        const Millis passed = net::now() - reload_asked_;
+        if (passed < kReloadGivenUp)
+            return reloader_.after(passed < kReloadSoon ? kReloadRetry : kReloadLateRetry);
+        log("error", "reload_given_up", e.what());
     }
 }
 
@@ -152,7 +180,8 @@
     if (quiet || departure_->depart(now)) clients_.depart();
     if (config_.named.settings.resume) relay_.hand_back(departure_->hand_back(now, relay_.streams()));
     if (departure_->answer_rest(now)) relay_.shutdown();
-    if (relay_.open() == 0 && relay_.releases() == 0 && clients_.connections() == 0) {
+    const bool nothing_open = relay_.open() == 0 && relay_.releases() == 0 && clients_.connections() == 0;
+    if (nothing_open && !clients_.listening()) {
         status();
         drainer_.stop();
         if (done_) done_();
@@ -217,6 +246,7 @@
                 {"accepted", t.accepted},
                 {"turned_away", t.refused},
                 {"evicted", t.evicted},
+                {"accept_failed", t.accept_failed},
                 {"silent", t.silent},
                 {"bad", t.bad}});
 }
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -38,6 +38,7 @@
     void log(const char* level, const char* event, const std::string& text) override;
 
     void open();
+    void try_reload();
     void drain_step();
     void status();
 
@@ -50,8 +51,10 @@
     Clients clients_;
     Watch watch_;
     gateway::Ticker ticker_;
-    net::Timer drainer_, opener_, status_;
-    bool open_ = false;
+    net::Timer drainer_, opener_, reloader_, status_;
+    bool open_ = false, listen_failed_ = false;
+    Millis reload_asked_ = 0;
+    std::string reload_refused_;  // why the configuration could not be taken the last time
     Millis stopped_ = 0, started_ = 0;
     std::optional<decide::Departure> departure_;
     std::function<void()> done_;
--- a/tests/program/net_test.cpp
+++ b/tests/program/net_test.cpp
@@ -36,7 +36,8 @@
         ASSERT_EQ(listener.listen("127.0.0.1:0"), 0);
         Stream a(loop), b(loop);
         ASSERT_EQ(a.connect("127.0.0.1:" + std::to_string(listener.port()), "", [](int) { FAIL(); }), 0);
-        EXPECT_EQ(loop.open_handles().size(), 7u);
+        // Two timers, a turn's two handles, a signal, a listener's socket and poll, two streams.
+        EXPECT_EQ(loop.open_handles().size(), 9u);
     }
     EXPECT_TRUE(loop.open_handles().empty());
 }
