--- a/tests/life/faults.test.mjs
+++ b/tests/life/faults.test.mjs
@@ -93,3 +93,67 @@
   }
   await gateway.end();
 });
+
+test('a poll that is interrupted is not taken for a client that is still there', async () => {
+  const faults = newFaults(), gateway = await startUnder(faults);
+  faults.set('poll', 'EINTR', 0.9);
+  for (let i = 0; i < 6; ++i) {
+    const txn = `poll-${i}`;
+    await gateway.ask(`kept-${i}`);  // leaves a connection to the writer on which a request leaves at once
+    await sleep(40);
+    const asked = new Promise((done) => {
+      reader.behave = (r, res) => {
+        if (r.headers['x-txn'] !== txn) return false;
+        done(res);
+        return true;
+      };
+    });
+    const client = net.connect(gateway.port, '127.0.0.1', () => client.write(`POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${txn}\r\n` +
+      'x-lane: chat\r\nx-org: acme\r\nx-remaining: 2500m\r\ncontent-length: 2\r\n\r\n{}'));
+    const res = await asked;
+    gateway.child.kill('SIGSTOP');  // the read's answer comes first, then the client's close, and both lie unread
+    await sleep(20);
+    res.writeHead(202);
+    res.end('{"cached_tokens":0}');
+    await sleep(20);
+    client.destroy();
+    await sleep(20);
+    gateway.child.kill('SIGCONT');
+    await until('the release', () => [...reader.seen, ...writer.seen].some((s) => s.method === 'DELETE' && s.url.endsWith(txn)));
+    assert.ok(!writer.seen.some((s) => s.headers['x-txn'] === txn), 'nothing is sent on for a client that has left');
+  }
+  reader.behave = () => false;
+  await gateway.end();
+});
+
+test('a wall clock that is an hour off makes no server warm that has just started, nor cold for good', async () => {
+  const guarantees = { FallMultiple: 2.5, TipAfterMs: 2000, StartCapacity: 0.3, WarmWithinMs: 6000 };
+  const other = await new Engine().start('r2', 'read');
+  for (const step of [3600e3, -3600e3]) {
+    const faults = newFaults();
+    faults.stepWallClock(step);
+    const list = await new Discovery().start([reader.host(), other.host(), writer.host()]);
+    const gateway = await new Gateway().start(list.port, [], { env: underFaults(faults), guarantees });
+    const reads = (engine, from) => engine.seen.filter((r) => r.method === 'POST' && r.at >= from).length;
+    let count = 0;
+    const load = async (ms) => {
+      const answers = [], end = Date.now() + ms;
+      while (Date.now() < end) {
+        answers.push(gateway.ask(`clock-${step}-${++count}`, { headers: { 'x-entity': `clock-${count}` } }));
+        await sleep(20);
+      }
+      return Promise.all(answers);
+    };
+    await load(2500);
+    list.change([reader.host(), { ...other.host(), born_ms: Date.now() }, writer.host()]);
+    const started = Date.now();
+    await load(1200);
+    const cold = reads(other, started), warm = reads(reader, started);
+    assert.ok(cold < 0.6 * warm, `${step} ms: ${cold} reads at the one that has just started, ${warm} at the other`);
+    await load(2000);
+    assert.ok(reads(other, started + 1200) > 0, `${step} ms: it is given some of the load as it warms up`);
+    await gateway.end();
+    list.stop();
+  }
+  other.stop();
+});
--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -29,7 +29,7 @@
       let body = '';
       req.on('data', (d) => { body += d; });
       req.on('end', () => {
-        const r = { method: req.method, url: req.url, headers: req.headers, body, closed: false };
+        const r = { method: req.method, url: req.url, headers: req.headers, body, closed: false, at: Date.now() };
         this.seen.push(r);
         res.on('close', () => { r.closed = true; });
         if (this.behave(r, res)) return;
@@ -72,8 +72,9 @@
 
 export class Gateway {
   err = '';
-  // `env`: more of the environment. `ready`: whether to wait until it is.
-  async start(discovery, known = [], { env = {}, ready = true } = {}) {
+  // `env`: more of the environment. `ready`: whether to wait until it is. `guarantees`: more of the settings.
+  async start(discovery, known = [], { env = {}, ready = true, guarantees = {} } = {}) {
+    this.guarantees = guarantees;
     this.dir = mkdtempSync(path.join(tmpdir(), 'gorsenotch-node-'));
     this.file = path.join(this.dir, 'config.json');
     this.port = await freePort();
@@ -95,7 +96,7 @@
         FamilyInfo: { RoleByKind: ['read', 'write'], KindMemoryTokens: [200000, 150000], LetGoByMs: 1000, Resume: true,
           TokenAimMs: [60], AimUsPer1000PromptTokens: [40000] },
         Ceilings: { AttemptsCap: 6, Cancel: true, DialTimeoutMs: 250, IdleCloseMs: 15000, RetryAfter: false },
-        Guarantees: { DrainGraceMs: 250 },
+        Guarantees: { DrainGraceMs: 250, ...this.guarantees },
         Lanes: [{ Name: 'chat', SloMs: 1500, DeadlineMs: 3000, Importance: 1, Effect: 'repeatable', Streaming: true }],
         Tenants: [{ Name: 'acme', QuotaPerS: 1000 }], StepMs: 4 } }));
     renameSync(`${this.file}.new`, this.file);
