Starts are what this process sees, not a difference of clocks; an interrupted poll is asked again

Stream::polled took a failed poll for "nothing there": with EINTR a write went out for a client whose close lay unread, and an unread request could have been closed over. It asks again; where the system says nothing for good, nothing is closed over and no client counts as gone.

May do harm by treating a server as colder for as long as its list was late.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -275,7 +275,9 @@
                 s.others = 0;
                 s.heard = -kNever;
                 s.memory_share = -1;
-                if (entry.started > 0) s.cold_since = std::max(s.cold_since, entry.started);
+                // Guards against a start later than now, where a clock is off: its age would be below 0, and
+                // the server without any share for as long.
+                if (entry.started > 0) s.cold_since = std::max(s.cold_since, std::min(now_, entry.started));
             }
             s.entry = entry;
             s.listed = now_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -403,15 +403,23 @@
 std::size_t Stream::queued() const { return h_ ? h_->in_flight : 0; }
 bool Stream::wrote() const { return h_ && (h_->wrote || h_->in_flight > 0); }
 
-bool Stream::polled(short events) const {
+bool Stream::polled(short events, bool unknown) const {
     uv_os_fd_t fd = -1;
     if (!h_ || h_->ended || uv_fileno(reinterpret_cast<const uv_handle_t*>(&h_->uv), &fd) != 0) return true;
-    pollfd p{fd, events, 0};
-    return ::poll(&p, 1, 0) > 0 && p.revents != 0;
+    // Guards against a poll that is interrupted and taken for "nothing there": a request would go out for a
+    // client that has left, or an unread one would be closed over. Linux documents no lasting failure of it
+    // for one good descriptor; `unknown` is what the caller can do no harm by.
+    constexpr int kTries = 100;
+    for (int i = 0; i < kTries; ++i) {
+        pollfd p{fd, events, 0};
+        const int ready = ::poll(&p, 1, 0);
+        if (ready >= 0) return ready > 0 && p.revents != 0;
+    }
+    return unknown;
 }
 
-bool Stream::peer_closed() const { return polled(POLLRDHUP); }
-bool Stream::unread() const { return polled(POLLIN | POLLRDHUP); }
+bool Stream::peer_closed() const { return polled(POLLRDHUP, false); }
+bool Stream::unread() const { return polled(POLLIN | POLLRDHUP, true); }
 
 Millis Stream::age() const {
     uv_os_fd_t fd = -1;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -145,7 +145,8 @@
 private:
     friend class Listener;
     struct Handle;
-    bool polled(short events) const;  // whether one of these, a hang-up or an error is there now
+    // Whether one of these, a hang-up or an error is there now; `unknown` where the system does not say.
+    bool polled(short events, bool unknown) const;
     void break_off();
     Handle* h_;
 };
--- a/src/platform/discovery.cpp
+++ b/src/platform/discovery.cpp
@@ -36,7 +36,7 @@
     return it->second;
 }
 
-Host read_host(const Json& row, const drill::Named& named, Millis offset) {
+Host read_host(const Json& row, const drill::Named& named) {
     if (!row.is_object()) throw Bad{"should be an object"};
     Host h;
     h.name = text(row, "host");
@@ -55,8 +55,7 @@
     const double cell = number(row, "block", 0);
     s.cell = cell > 0 && cell < 9e15 ? static_cast<std::uint64_t>(cell) : 0;
     s.weight = number(row, "share", 1);
-    const double born = number(row, "born_ms", 0);
-    if (born > 0) s.started = std::max(1e-3, born + offset);
+    h.born = std::max(0.0, number(row, "born_ms", 0));
     return h;
 }
 
@@ -70,7 +69,7 @@
     return id;
 }
 
-std::optional<ListEvent> Hosts::take(const std::string& body, Source source, std::string& why) {
+std::optional<ListEvent> Hosts::take(const std::string& body, Source source, Millis now, std::string& why) {
     try {
         const Json v = Json::parse(body, nullptr, false);
         if (v.is_discarded() || !v.is_object()) throw Bad{"not a JSON object"};
@@ -94,7 +93,7 @@
         std::vector<Host> read;
         for (std::size_t i = 0; i < rows->size(); ++i) {
             try {
-                read.push_back(read_host((*rows)[i], named_, offset_));
+                read.push_back(read_host((*rows)[i], named_));
             } catch (const Bad& b) {
                 throw Bad{"hosts[" + std::to_string(i) + "]." + b.why};
             }
@@ -105,6 +104,7 @@
         if (whole) before.swap(hosts_);
         for (auto& h : read) {
             h.entry.server = id_of(h.name);
+            if (h.entry.mode != Mode::gone) h.entry.started = starts_.listed(h.name, h.born, now);
             if (const auto was = before.find(h.entry.server); was != before.end())
                 h.good = was->second.good, h.bad = was->second.bad;
             if (const Host* was = find(h.entry.server)) h.good = was->good, h.bad = was->bad;
@@ -117,6 +117,8 @@
                 hosts_[h.entry.server] = std::move(h);
             }
         }
+        if (whole && source != Source::saved) starts_.watching();
+        starts_.forget(hosts_.size(), now);
         if (whole) std::erase_if(ids_, [&](const auto& id) { return !hosts_.count(id.second); });
         return e;
     } catch (const Bad& b) {
--- a/src/platform/discovery.h
+++ b/src/platform/discovery.h
@@ -1,13 +1,14 @@
 // The list of model servers in discovery's form: text in, list events out. No I/O.
 //
-// Times: discovery's Unix ms become the Router's clock by one fixed offset, so that a start always has the
-// same value and is never taken for a new one. Errors: bad text changes nothing and gives the reason.
+// Times: starts on the monotonic clock, see decide/start_time; one always has the same value and is never
+// taken for a new one. Errors: bad text changes nothing and gives the reason.
 #pragma once
 
 #include <map>
 #include <optional>
 #include <string>
 
+#include "decide/start_time.h"
 #include "drill/settings.h"
 
 namespace gorsenotch::platform {
@@ -15,18 +16,19 @@
 struct Host {
     ServerEntry entry;
     std::string name, dial;
+    double born = 0;                   // as listed: ms on the wall clock, 0 long ago
     Millis good = -1e18, bad = -1e18;  // when it last answered, and when it last did not
 };
 
 class Hosts {
 public:
-    // `offset`: what is added to Unix ms to get the Router's clock.
-    Hosts(const drill::Named& named, Millis offset) : named_(named), offset_(offset) {}
+    // `offset`: what is added to Unix ms to get the monotonic clock's, as far as the wall clock is right.
+    Hosts(const drill::Named& named, Millis offset) : named_(named), starts_(offset) {}
 
     // Where a text comes from: as last held, the same discovery as before, or one at another address.
     enum class Source { saved, same, moved };
     // Takes a list or changes; the event for the Router, or nothing and why.
-    std::optional<ListEvent> take(const std::string& text, Source source, std::string& why);
+    std::optional<ListEvent> take(const std::string& text, Source source, Millis now, std::string& why);
     std::uint64_t version() const { return version_; }
     Host* find(ServerId id);
     std::map<ServerId, Host>& all() { return hosts_; }
@@ -35,7 +37,7 @@
     ServerId id_of(const std::string& name);
 
     const drill::Named& named_;
-    const Millis offset_;
+    decide::StartTimes starts_;
     std::map<ServerId, Host> hosts_;  // those listed
     std::map<std::string, ServerId> ids_;
     std::uint64_t version_ = 0;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -78,7 +78,7 @@
     loop_.on_look = [this] { relay_.looked(loop_.looked()); };
     watch_.on_list = [this](const std::string& text, bool moved) -> std::optional<std::uint64_t> {
         std::string why;
-        auto e = hosts_.take(text, moved ? Hosts::Source::moved : Hosts::Source::same, why);
+        auto e = hosts_.take(text, moved ? Hosts::Source::moved : Hosts::Source::same, net::now(), why);
         if (!e) {
             log("warn", "list_refused", why);
             return std::nullopt;
@@ -101,7 +101,7 @@
     started_ = net::now();
     std::string why;
     if (!config_.known.empty()) {
-        if (auto e = hosts_.take(config_.known, Hosts::Source::saved, why)) {
+        if (auto e = hosts_.take(config_.known, Hosts::Source::saved, net::now(), why)) {
             relay_.list(std::move(*e));
         } else {
             log("warn", "known_refused", why);
--- a/tests/fuzz/targets.cpp
+++ b/tests/fuzz/targets.cpp
@@ -196,10 +196,10 @@
             .take(
                 R"({"seq":1,"whole":true,"hosts":[{"host":"x","dial":"127.0.0.1:1","site":"a","class":"decode",
         "health":"up"}]})",
-                platform::Hosts::Source::same, why)
+                platform::Hosts::Source::same, 0, why)
             .has_value(),
         "a good list is taken");
-    const auto e = hosts.take(std::string(bytes), platform::Hosts::Source::same, why);
+    const auto e = hosts.take(std::string(bytes), platform::Hosts::Source::same, 0, why);
     need(e.has_value() == why.empty(), "a list or the reason why not");
     if (!e) need(hosts.all().size() == 1 && hosts.version() == 1, "a bad one changes nothing");
     for (const auto& [id, h] : hosts.all())
--- a/tests/program/clients_test.cpp
+++ b/tests/program/clients_test.cpp
@@ -78,7 +78,7 @@
 
     void start(Clients::Config c) {
         std::string why;
-        auto list = hosts.take(config.known, Hosts::Source::same, why);
+        auto list = hosts.take(config.known, Hosts::Source::same, 0, why);
         ASSERT_TRUE(list) << why;
         relay.list(std::move(*list));
         c.listen = "127.0.0.1:0";
--- a/tests/program/platform_test.cpp
+++ b/tests/program/platform_test.cpp
@@ -48,10 +48,11 @@
 struct List : ::testing::Test {
     Config config = parse_config(kConfig, "", "");
     Hosts hosts{config.named, -1000};
+    Millis clock = 10000;
     std::string why;
     std::optional<ListEvent> take(const std::string& text, Hosts::Source source = Hosts::Source::same) {
         why.clear();
-        return hosts.take(text, source, why);
+        return hosts.take(text, source, clock, why);
     }
     static std::string row(const char* name, const char* health, long born = 0) {
         return std::string("{\"host\":\"") + name +
@@ -123,6 +124,34 @@
     EXPECT_TRUE(take(list(3, false, row("x", "up"))));
 }
 
+// The wall clock of this host or of another may be wrong, or stepped.
+TEST_F(List, AStartThatIsSeenIsNowWhateverTheWallClockSays) {
+    ASSERT_TRUE(take(list(1, true, row("w1", "up", 5000) + "," + row("w2", "up"))));
+    for (const long born : {7000L, 3600000L, 6000L}) {
+        clock += 1000;
+        const auto e = take(list(2, false, row("w1", "up", born)));
+        ASSERT_TRUE(e) << why;
+        EXPECT_EQ(e->entries[0].started, clock) << "another start of w1";
+        clock += 500;
+        EXPECT_EQ(take(list(2, false, row("w1", "draining", born)))->entries[0].started, clock - 500)
+            << "the same";
+    }
+    EXPECT_EQ(take(list(3, false, row("w3", "up", 9000)))->entries[0].started, clock) << "a new server";
+    ASSERT_TRUE(take(list(4, false, "{\"host\":\"w3\",\"health\":\"removed\"}")));
+    clock += 2000;
+    EXPECT_EQ(take(list(5, false, row("w3", "up", 9000)))->entries[0].started, clock - 2000)
+        << "listed again";
+    EXPECT_EQ(take(list(6, false, row("w2", "up")))->entries[0].started, 0) << "long ago";
+}
+
+TEST_F(List, OfTheFirstListTheClocksTell) {
+    ASSERT_TRUE(take(config.known, Hosts::Source::saved));
+    const auto e = take(list(5, true, row("w1", "up", 5000) + "," + row("w2", "up", 3600000)));
+    ASSERT_TRUE(e) << why;
+    EXPECT_EQ(e->entries[0].started, 4000);
+    EXPECT_EQ(e->entries[1].started, 3599000) << "the Router takes no start to be later than now";
+}
+
 // ---- a client's request ---------------------------------------------------------------------------------
 
 struct Heads : ::testing::Test {
--- a/tests/program/platform_world.h
+++ b/tests/program/platform_world.h
@@ -97,7 +97,7 @@
     }
     void list(const std::string& text) {
         std::string why;
-        auto e = hosts.take(text, Hosts::Source::same, why);
+        auto e = hosts.take(text, Hosts::Source::same, world.clock, why);
         ASSERT_TRUE(e) << why;
         relay.list(std::move(*e));
     }
