Test that fails: a stream whose client asked for the close is not followed by one

Found while the faults tests took 10 s a case: Conn::done keeps the connection whatever the client asked for, and its place is held until the 10 s for idle ones are over. Answers that are no streams do close.

--- a/tests/program/clients_test.cpp
+++ b/tests/program/clients_test.cpp
@@ -128,6 +128,18 @@
     }
 };
 
+// A client that asks for the close waits for it: it would hold its place for as long as idle ones may.
+TEST_F(ClientsTest, AStreamWhoseClientAskedForTheCloseIsFollowedByAFin) {
+    Peer peer(clients->port());
+    peer.send(with(post("t1"), "x-lane", "connection: close\r\nx-lane"));
+    until([&] { return sent("t1") > 0; });
+    serve();
+    until([&] { return peer.look(), peer.ended; });
+    EXPECT_NE(peer.text.find("connection: close\r\n"), std::string::npos);
+    EXPECT_NE(peer.text.find("0\r\n\r\n"), std::string::npos);
+    EXPECT_FALSE(peer.reset);
+}
+
 TEST_F(ClientsTest, ARequestThatLiesUnreadAsTheGatewayDepartsIsServed) {
     const auto peer = rested("t1");
     peer->send(post("t2"));  // in the kernel, and not read yet
