Clients: a stream whose client asked for the close ends its connection with a FIN

Conn::done went on to the next request without a look at keep_alive; answer() did look. Now both ask last_answer(), the head of the stream says so too, and the connection ends by end().

--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -40,6 +40,8 @@
     bool resting() const { return state == State::reading && began == 0 && ahead.empty(); }
     // Nothing that has come waits for the end of the present answer.
     bool nothing_behind() const { return ahead.empty() && !stream->unread(); }
+    // The answer that begins now is the connection's last.
+    bool last_answer() const { return !parser.keep_alive || (of.departing_ && nothing_behind()); }
 
     void write_out() {
         if (!out.empty()) stream->write(std::exchange(out, std::string()));
@@ -47,7 +49,7 @@
 
     void begin(std::string_view events) override {
         http::Headers headers = {{"content-type", "text/event-stream"}, {"transfer-encoding", "chunked"}};
-        if (of.departing_ && nothing_behind()) headers.emplace_back("connection", "close");
+        if (last_answer()) headers.emplace_back("connection", "close");
         std::string s = http::response_head(200, headers);
         http::append_chunk(s, events);
         of.send(*this, s);
@@ -64,6 +66,8 @@
     void done() override {
         of.send(*this, http::last_chunk);
         handle = 0;
+        // Guards against a client that has asked for the close and waits for it, in a place that others need.
+        if (!parser.keep_alive) return of.end(*this);
         of.next(*this);
     }
     // What came is passed on before the connection ends, and a close over unread bytes would reset it.
@@ -267,7 +271,7 @@
 
 void Clients::answer(Conn& c, int status, std::string_view why, Millis pause, bool close) {
     if (c.gone) return;
-    close |= !c.parser.keep_alive || (departing_ && c.nothing_behind());
+    close |= c.last_answer();
     http::Headers headers = {{"content-type", "text/plain"},
                              {"content-length", std::to_string(why.size() + 1)}};
     if (pause > 0) {
