Module: choices look at a window of a large fleet, surveys keep pace with its size

Servers that are up stand in rings by role (numeric/hash_ring). Above, a choice looks at 96 from the request's place on the ring, by the list, so gateways agree on homes; the writers of the wanted cell join them; one that finds nothing looks at all. Surveys and the forgetting of gone servers come as seldom as 256 servers a tick allow.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -44,12 +44,14 @@
     }
     if (what == "relay") return bench::run_relay(at, option(argc, argv, "--to", ""));
     if (what == "hog") return bench::run_hog(number("--ms", "10"), number("--every", "200"));
+    if (what == "sizes") return bench::run_sizes();
     if (argc < 3) {
         std::fprintf(stderr,
                      "use: gorsenotch_bench cost PROGRAM [--rate N] [--seconds N] [--events N] [--rounds N] "
                      "[--hog MS]\n"
                      "     gorsenotch_bench streams PROGRAM [--streams N]\n"
-                     "     gorsenotch_bench leak PROGRAM [--requests N] [--rate N]\n");
+                     "     gorsenotch_bench leak PROGRAM [--requests N] [--rate N]\n"
+                     "     gorsenotch_bench sizes\n");
         return 2;
     }
     if (what == "cost") {
--- a/bench/parts.h
+++ b/bench/parts.h
@@ -16,6 +16,8 @@
 int run_relay(const std::string& listen, const std::string& to);
 int run_hog(double ms, double every_ms);
 int run_streams(const std::string& self, const std::string& program, int streams);
+// The cost of an event by the number of servers, simulated.
+int run_sizes();
 int run_leak(const std::string& self, const std::string& program, long requests, double rate);
 
 }  // namespace gorsenotch::bench
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -8,11 +8,13 @@
 #include <map>
 #include <numeric>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
 #include "numeric/estimators.h"
 #include "numeric/hash.h"
+#include "numeric/hash_ring.h"
 
 namespace gorsenotch {
 namespace {
@@ -20,6 +22,7 @@
 using numeric::CompletionTime;
 using numeric::DecayingRate;
 using numeric::hash_fraction;
+using numeric::HashRing;
 using numeric::QuantileEstimate;
 
 // Constants held for all deployments; everything else derives from settings, aims or what is observed.
@@ -57,7 +60,11 @@
 constexpr double kPriorWeight = 2;        // completions that the prior of a completion time stands for
 constexpr double kRateSpan = 3000;        // ms over which rates are averaged
 constexpr double kTransit = 0.5;          // part of the dial time-out within which what is sent has arrived
-constexpr std::uint64_t kTick = 0;        // timer label of the periodic check; others number requests
+// Of a role with more servers than the first a choice looks at the second, from the request's place on a ring
+// of all.
+constexpr std::size_t kScannedWhole = 128, kWindow = 96;
+constexpr std::size_t kSurveyedEachTick = 256;  // servers, in the mean
+constexpr std::uint64_t kTick = 0;              // timer label of the periodic check; others number requests
 
 constexpr Millis kNever = 1e18;
 
@@ -166,7 +173,7 @@
         actions_ = &actions;
         if (!ticking_) {
             ticking_ = true;
-            checked_ = now_;
+            checked_ = surveyed_ = now_;
             set_tick();
             if (s_.discovery == Discovery::ask) ask();
         }
@@ -261,11 +268,15 @@
         }
         if (e.form != ListEvent::Form::changes) {
             for (auto& [id, s] : servers_) s.entry.mode = Mode::gone;
+            for (auto& ring : by_role_) ring.clear();
+            writers_.clear();
+            writers_of_cell_.clear();
         }
         for (const auto& entry : e.entries) {
             if (entry.kind < 0 || entry.kind >= static_cast<int>(s_.kinds.size())) continue;
             auto [it, fresh] = servers_.try_emplace(entry.server);
             Server& s = it->second;
+            unlist(s);
             // Guards against: a restarted process judged by its past life, and empty memory taken for room.
             if (fresh || entry.started > s.entry.started) {
                 s.suspect = s.was_down = false;
@@ -282,8 +293,9 @@
             s.entry = entry;
             s.listed = now_;
             s.role = s_.kinds[static_cast<std::size_t>(entry.kind)].role;
+            if (entry.mode == Mode::healthy) enlist(s);
         }
-        survey(0);
+        if (now_ >= survey_due_) survey(0);
     }
 
     void on(const ProbeResult& p) {
@@ -308,6 +320,63 @@
         for (const auto& id : unanswered) end(requests_.at(id));
     }
 
+    // ---- servers by role ------------------------------------------------------------------------------
+
+    HashRing<Server>& ring(Role role) { return by_role_[static_cast<std::size_t>(role)]; }
+
+    void enlist(Server& s) {
+        ring(s.role).insert(s.entry.server, &s);
+        if (!s.writes()) return;
+        writers_.insert(s.entry.server, &s);
+        writers_of_cell_[s.entry.cell].push_back(&s);
+    }
+
+    void unlist(Server& s) {
+        ring(s.role).erase(s.entry.server);
+        writers_.erase(s.entry.server);
+        if (const auto at = writers_of_cell_.find(s.entry.cell); at != writers_of_cell_.end())
+            std::erase(at->second, &s);
+    }
+
+    // The healthy servers that a choice looks at: all, or in a fleet too large for that a window of them that
+    // begins at `key`, so that gateways with the same list see the same ones. Guards against a cost of each
+    // request that grows with the fleet. May do harm where a window has few servers that can be used: see
+    // whole().
+    const std::vector<Server*>& candidates(const HashRing<Server>& from, std::uint64_t key,
+                                           std::vector<Server*>& window) {
+        if (from.size() <= kScannedWhole || scan_all_) return from.by_id();
+        window.clear();
+        from.window(key, kWindow, window);
+        return window;
+    }
+
+    // What a request's reads are kept by: its own session, or the opening it shares; 0 for neither.
+    std::uint64_t home_key(const Request& r) const {
+        // Not the opening where visits are rare and a session's own text is the more: it has its own home
+        // then, as no queue would show a hot opening's jam.
+        const bool own = own_home(r);
+        return own ? r.a.session : r.a.prefix;
+    }
+    bool own_home(const Request& r) const {
+        return !r.a.prefix || (sparse() && r.a.session && 2 * r.a.prefix_tokens < r.a.prompt_tokens);
+    }
+    std::uint64_t reader_window(const Request& r) const {
+        const std::uint64_t key = home_key(r);
+        return key ? key : seed_ + r.serial;
+    }
+    std::uint64_t writer_window(const Request& r) const { return seed_ + r.serial; }
+
+    // A choice among a window of the fleet that finds nothing looks at all of it.
+    template <class Choice>
+    Server* whole(Choice choice) {
+        Server* found = choice();
+        if (found || scan_all_ || servers_.size() <= kScannedWhole) return found;
+        scan_all_ = true;
+        found = choice();
+        scan_all_ = false;
+        return found;
+    }
+
     // ---- a request's way ------------------------------------------------------------------------------
 
     // Sends the request to its next stage, or ends it.
@@ -468,20 +537,24 @@
     }
 
     Server* pick_reader(Request& r) {
+        return whole([&] { return pick_reader_among(r); });
+    }
+
+    Server* pick_reader_among(Request& r) {
         Server* writer = nullptr;
+        const auto& readers = candidates(ring(Role::read), reader_window(r), reader_candidates_);
         std::vector<Server*> fit;
         for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
-            for (auto& [id, s] : servers_) {
-                if (s.role == Role::read && usable(s, r, strict)) fit.push_back(&s);
+            for (Server* s : readers) {
+                if (usable(*s, r, strict)) fit.push_back(s);
             }
             // Rule 3: a mixed server that reads also writes, so it is asked when it has room and the writer
             // that would be picked has none, or when no plain reader is there.
             if (!writer) writer = pick_writer(r);
             const bool no_room = !writer || !has_room(*writer);
             if (!fit.empty() && !no_room) continue;
-            for (auto& [id, s] : servers_) {
-                if (s.role == Role::both && usable(s, r, strict) && (fit.empty() || has_room(s)))
-                    fit.push_back(&s);
+            for (Server* s : candidates(ring(Role::both), reader_window(r), mixed_candidates_)) {
+                if (usable(*s, r, strict) && (fit.empty() || has_room(*s))) fit.push_back(s);
             }
         }
         if (fit.empty()) return nullptr;
@@ -528,16 +601,18 @@
             const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
             if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
         }
-        // Sessions that share a beginning share its home and meet their texts there. Not where visits are
-        // rare and a session's own text is the more: it has its own home then, as no queue would show a hot
-        // beginning's jam. By the list, as a next turn comes elsewhere: rendezvous weighted by pull.
-        const bool own =
-            !r.a.prefix || (sparse() && r.a.session && 2 * r.a.prefix_tokens < r.a.prompt_tokens);
-        if (const std::uint64_t key = own ? r.a.session : r.a.prefix) {
+        // Sessions that share a beginning share its home and meet their texts there. By the list, as a next
+        // turn comes elsewhere: rendezvous weighted by pull.
+        const bool own = own_home(r);
+        if (const std::uint64_t key = home_key(r)) {
             std::vector<std::pair<double, Server*>> by;
             for (Server* s : near)
                 by.push_back({-std::log(hash_fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
-            const std::size_t homes = own ? 1 : std::min(by.size(), homes_of_opening(r.a.prefix, fit.size()));
+            // Of a window's readers those that can be used stand for all.
+            const std::size_t usable_readers =
+                readers.empty() ? fit.size() : fit.size() * ring(Role::read).size() / readers.size();
+            const std::size_t homes =
+                own ? 1 : std::min(by.size(), homes_of_opening(r.a.prefix, usable_readers));
             const auto rank =
                 static_cast<std::size_t>(hash_fraction(r.a.session, 1) * static_cast<double>(homes));
             const auto at = by.begin() + static_cast<std::ptrdiff_t>(rank);
@@ -564,21 +639,29 @@
     }
 
     Server* pick_writer(const Request& r) {
+        return whole([&] { return pick_writer_among(r); });
+    }
+
+    Server* pick_writer_among(const Request& r) {
         std::vector<std::pair<int, Server*>> fit;
         const Server* reader = r.state ? find(r.reader) : nullptr;
+        const bool windowed = writers_.size() > kScannedWhole && !scan_all_;
+        std::uint64_t cell = windowed && reader ? deal(*reader) : 0;
+        const auto* from = &candidates(writers_, writer_window(r), writer_candidates_);
+        if (windowed && reader) add_cell(cell, writer_candidates_);
         for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
-            for (auto& [id, s] : servers_) {
-                if (!s.writes() || !usable(s, r, strict)) continue;
-                if (strict && !has_room(s)) continue;
-                int queued = s.out[waiting] + s.out[reading];
-                if (!strict) queued += young(s);
-                fit.push_back({queued, &s});
+            for (Server* s : *from) {
+                if (!usable(*s, r, strict)) continue;
+                if (strict && !has_room(*s)) continue;
+                int queued = s->out[waiting] + s->out[reading];
+                if (!strict) queued += young(*s);
+                fit.push_back({queued, s});
             }
         }
         if (fit.empty()) return nullptr;
         int least = fit[0].first;
         for (const auto& [n, s] : fit) least = std::min(least, n);
-        const std::uint64_t cell = reader ? deal(*reader) : 0;
+        if (!windowed && reader) cell = deal(*reader);
         std::vector<std::pair<std::array<double, 3>, Server*>> near;
         for (const auto& [n, s] : fit) {
             if (n > least + 1) continue;
@@ -588,6 +671,16 @@
         return least_of(near);
     }
 
+    // A window seldom holds the writers of a given cell, to which a state moves at the least cost: they join
+    // it.
+    void add_cell(std::uint64_t cell, std::vector<Server*>& window) {
+        const auto at = writers_of_cell_.find(cell);
+        if (at == writers_of_cell_.end()) return;
+        for (Server* s : at->second) {
+            if (std::find(window.begin(), window.end(), s) == window.end()) window.push_back(s);
+        }
+    }
+
     // The cell whose writers come first for a state here: the reader's own, as far as its share of the
     // writers covers what is read in it; else one with writers to spare, the same zone's counting double.
     // Guards against few writers drawing all that many readers there read. Harms where links are narrow.
@@ -756,6 +849,7 @@
     void keep_abandoned_read(Server& s, const Request& r) {
         if (r.stage != reading) return;
         s.abandoned_reads.push_back({now_ + (now_ - r.sent), r.a.prompt_tokens});
+        abandoned_at_.insert(s.entry.server);
         s.held += r.a.prompt_tokens;
     }
 
@@ -804,12 +898,6 @@
     void check() {
         set_tick();
         if (s_.discovery == Discovery::ask && now_ - asked_ > s_.ask_within / 2) ask();
-        // Guards against memory that grows with every server that was ever listed. May do harm by judging one
-        // afresh that comes back after so long without a start of its own.
-        std::erase_if(servers_, [this](const auto& entry) {
-            const Server& s = entry.second;
-            return s.entry.mode == Mode::gone && now_ - s.listed > kForget && s.total() == 0;
-        });
         const Millis dt = now_ - checked_;
         checked_ = now_;
         std::map<ServerId, std::array<bool, 3>> harmed;  // by work that has waited long, measured by its aim
@@ -826,7 +914,7 @@
             if (!s->suspect) completion_time(r.stage, r).add_time(dt / r.units);
             if (r.stage == streaming || age > 0.5 * aim(r)) harmed[r.server][r.stage] = true;
         }
-        survey(dt);
+        survey_in_time();
         const double keep = std::exp(-dt / kCompletionSpan / 10);
         seen_ *= keep;
         for (auto& [prefix, count] : openings_) count *= keep;
@@ -835,16 +923,12 @@
             for (auto& u : stage)
                 u.decay(std::exp(-dt / kCompletionSpan), std::exp(-dt / kCompletionSpan / 10));
         }
-        for (auto& [id, s] : servers_) {
-            while (!s.abandoned_reads.empty() && s.abandoned_reads.front().first <= now_) {
-                s.held -= s.abandoned_reads.front().second;
-                s.abandoned_reads.pop_front();
-            }
-        }
+        end_abandoned_reads();
         std::vector<Server*> slow;
-        for (auto& [id, s] : servers_) {
+        for (const auto& [id, stages] : harmed) {
+            Server& s = servers_.at(id);
             for (std::size_t stage = 0; stage < 3; ++stage) {
-                if (s.slow[stage] < kSlowEvidence || !harmed[id][stage]) continue;
+                if (s.slow[stage] < kSlowEvidence || !stages[stage]) continue;
                 if (!minority(s, static_cast<Stage>(stage))) continue;
                 slow.push_back(&s);
                 break;
@@ -856,6 +940,18 @@
         }
     }
 
+    void end_abandoned_reads() {
+        std::erase_if(abandoned_at_, [this](ServerId id) {
+            Server* s = find(id);
+            if (!s) return true;
+            while (!s->abandoned_reads.empty() && s->abandoned_reads.front().first <= now_) {
+                s->held -= s->abandoned_reads.front().second;
+                s->abandoned_reads.pop_front();
+            }
+            return s->abandoned_reads.empty();
+        });
+    }
+
     // Guards against servers blamed for this gateway's own standstill: a tick that is late by more than one
     // says that nothing was heard for as long, so it is no time of those that have work out. Covers a stopped
     // process, a starved core and a long turn alike. May do harm when a server slows while this gateway
@@ -865,6 +961,7 @@
         if (late <= tick()) return;
         tick_due_ = now_;
         checked_ = std::min(now_, checked_ + late);
+        surveyed_ = std::min(now_, surveyed_ + late);
         for (auto& [id, r] : requests_) {
             if (!r.out) continue;
             r.sent = std::min(now_, r.sent + late);
@@ -878,6 +975,25 @@
         act(SetTimer{kTick, tick_due_});
     }
 
+    // A survey each tick, or with many servers as seldom as its cost grows. Guards against a cost of an idle
+    // gateway that grows with the fleet. May do harm by usual rates that are late by up to some ticks.
+    void survey_in_time() {
+        if (now_ < survey_due_) return;
+        survey(now_ - surveyed_);
+        surveyed_ = now_;
+        survey_due_ = now_ + tick() * (static_cast<double>(servers_.size() / kSurveyedEachTick) - 0.5);
+        forget_gone_servers();
+    }
+
+    // Guards against memory that grows with every server that was ever listed. May do harm by judging one
+    // afresh that comes back after so long without a start of its own.
+    void forget_gone_servers() {
+        std::erase_if(servers_, [this](const auto& entry) {
+            const Server& s = entry.second;
+            return s.entry.mode == Mode::gone && now_ - s.listed > kForget && s.total() == 0;
+        });
+    }
+
     // By role: the most that this gateway lately sent a warm server and the part of the servers that it does
     // not shun. By cell: shares of what is read and written and the readers' pull, by the list, so that
     // gateways agree; less where more of the aim was spent of late. Guards against jams and busier zones.
@@ -952,13 +1068,21 @@
     // The wait for a first token that is to be expected now: behind the shortest own read queue, then behind
     // all own requests still before a stream, those being read among them, as they will join those.
     Millis wait(const Request& r) {
-        double to_read = kNever, ahead = 0, writers = 0;
-        for (auto& [id, s] : servers_) {
-            ahead += s.out[waiting] + s.out[reading];
-            if (!usable(s, r, true)) continue;
-            if (s.reads()) to_read = std::min(to_read, s.to_read);
-            if (s.writes()) ++writers;
+        double ahead = 0;
+        for (const auto& [id, own] : requests_)
+            ahead += own.out && own.stage != streaming && find(own.server);
+        double to_read = kNever;
+        for (const Role role : {Role::read, Role::both}) {
+            for (Server* s : candidates(ring(role), reader_window(r), reader_candidates_)) {
+                if (usable(*s, r, true)) to_read = std::min(to_read, s->to_read);
+            }
         }
+        const auto& looked_at = candidates(writers_, writer_window(r), writer_candidates_);
+        double writers = 0;
+        for (Server* s : looked_at) writers += usable(*s, r, true);
+        // A window's writers stand for all.
+        if (!looked_at.empty())
+            writers *= static_cast<double>(writers_.size()) / static_cast<double>(looked_at.size());
         if (to_read >= kNever) to_read = 0;
         if (to_read + ahead <= 0) return 0;  // nothing is ahead of it, whatever it takes
         const Millis write = completion_time(waiting, r).value();
@@ -970,10 +1094,10 @@
 
     // Guards against reads for nothing while every writer is down: each is tried by one request at a time.
     bool writer_in_reach() const {
-        return std::any_of(servers_.begin(), servers_.end(), [this](const auto& entry) {
-            const Server& s = entry.second;
-            const bool down = s.suspect && s.was_down && (now_ < s.retry_at || s.total() >= s.allow);
-            return s.writes() && s.entry.mode == Mode::healthy && !down;
+        const auto& writers = writers_.by_id();
+        return std::any_of(writers.begin(), writers.end(), [this](const Server* s) {
+            const bool down = s->suspect && s->was_down && (now_ < s->retry_at || s->total() >= s->allow);
+            return !down;
         });
     }
 
@@ -1042,6 +1166,15 @@
     Millis asked_ = 0, checked_ = 0, tick_due_ = 0, min_aim_ = kNever;
     double max_worth_ = 1e-9;
     std::map<ServerId, Server> servers_;
+    // The healthy ones.
+    std::array<HashRing<Server>, 3> by_role_;
+    HashRing<Server> writers_;  // those that write, mixed ones too
+    std::map<std::uint64_t, std::vector<Server*>> writers_of_cell_;
+    std::vector<Server*> reader_candidates_, mixed_candidates_,
+        writer_candidates_;            // of the choice under way
+    bool scan_all_ = false;            // a window had none that can be used
+    std::set<ServerId> abandoned_at_;  // servers with abandoned reads
+    Millis surveyed_ = 0, survey_due_ = 0;
     std::map<std::uint64_t, Cell> cells_;
     std::map<RequestId, Request> requests_;
     std::map<std::uint64_t, RequestId> by_serial_;
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -2,6 +2,7 @@
 // cannot make. The same guards are held against few gateways where they act there too.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -138,6 +139,49 @@
                                            Traffic{300, true}, Traffic{25, true, true},
                                            Traffic{300, true, true}));
 
+// The budget of a server in slow start binds in a fleet of any size, at any traffic, and while gateways
+// restart and forget what they have sent: N + 3 x root of N + 3 requests in the window, N being what the
+// settings allow then.
+struct Size {
+    int gateways;
+    double per_second;     // requests, in sum
+    Millis restart_every;  // between the restarts of two gateways; 0: none
+};
+class SlowStartAtAnySize : public ::testing::TestWithParam<Size> {};
+
+TEST_P(SlowStartAtAnySize, KeepsTheBudget) {
+    const Size& size = GetParam();
+    Fleet fleet(size.gateways, pairs(10));
+    const auto& s = fleet.settings;
+    const double capacity = size.per_second / 11.0 / 0.6;
+    const Millis started = 8000, warm = started + s.warm_within;
+    ServerEntry cold = reader(50);
+    cold.started = started;
+    bool listed = false;
+    int next = 0, restarts = 0;
+    for (Millis now = 10; now < warm; now += 1000 / size.per_second) {
+        if (now >= started && !std::exchange(listed, true)) fleet.add(cold, now);
+        if (size.restart_every > 0 && now > started && now > started + size.restart_every * restarts)
+            fleet.restart(restarts++ % size.gateways, now);
+        ++next;
+        fleet.serve(next % size.gateways, now, static_cast<std::uint64_t>(next));
+    }
+    const auto& at = fleet.sent_at[50];
+    std::size_t first = 0;
+    for (std::size_t i = 0; i < at.size(); ++i) {
+        while (at[first] <= at[i] - s.fall_window) ++first;
+        const double share = s.start_capacity + (1 - s.start_capacity) * (at[i] - started) / s.warm_within;
+        const double n = s.fall_multiple * share * capacity * s.fall_window / 1000;
+        EXPECT_LE(static_cast<double>(i - first + 1), n + 3 * std::sqrt(n) + 3) << "at " << at[i];
+    }
+    EXPECT_EQ(fleet.breaches(), std::vector<std::string>{});
+}
+INSTANTIATE_TEST_SUITE_P(Sizes, SlowStartAtAnySize,
+                         ::testing::Values(Size{1, 4, 0}, Size{1, 4, 300}, Size{2, 5, 300}, Size{3, 6, 200},
+                                           Size{4, 3, 150}, Size{4, 30, 100}, Size{4, 120, 50},
+                                           Size{5, 10, 100}, Size{12, 20, 50}, Size{60, 60, 20},
+                                           Size{300, 120, 10}, Size{900, 120, 5}, Size{900, 20, 10}));
+
 // Guards against the few writers of a cell full of readers drawing all that is read there.
 TEST(Many, WritersAreDealtOverTheCells) {
     Fleet fleet(100, {reader(1, 0), reader(2, 0), reader(3, 0), reader(4, 1), writer(101, 0), writer(102, 1),
--- a/tests/soak/schedule.mjs
+++ b/tests/soak/schedule.mjs
@@ -12,6 +12,7 @@
   ['connect', 'EHOSTUNREACH', 0.3], ['connectHang', 'EINTR', 0.2], ['poll', 'EINTR', 0.5], ['wait', 'EINTR', 0.3],
   ['read', 'EINTR', 0.2], ['read', 'ETIMEDOUT', 0.02], ['read', 'EHOSTUNREACH', 0.02], ['write', 'EINTR', 0.2],
   ['write', 'ETIMEDOUT', 0.02], ['write', 'EAGAIN', 0.2], ['readShort', 7, 0.5], ['writeShort', 11, 0.5],
+  ['writeDelay', 140, 0.03], ['writeDelay', 140, 0.03], ['connectDelay', 140, 0.1],
 ];
 
 // Kinds with their weights. Targets: a gateway, a server, or the discovery agent of a gateway.
