--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -83,7 +83,7 @@
         }
     }
     if (!oldest) return false;
-    erase(*oldest);
+    erase(*oldest, LinkEnd::made_room);
     return true;
 }
 
@@ -139,7 +139,7 @@
             return link.dial->after(kDialPause);
         }
         const auto carried = link.carried;
-        erase(link);
+        erase(link, LinkEnd::dial_failed);
         if (own) return carried->not_sent();
         return carried->refused_dial();
     }
@@ -179,7 +179,7 @@
 void Upstream::data(Link& link, std::string_view bytes) {
     if (link.gone) return;
     const net::Doing doing(loop_, "engines");
-    if (link.idle || !link.carried) return erase(link);  // bytes that nobody asked for
+    if (link.idle || !link.carried) return erase(link, LinkEnd::unasked_bytes);
     const auto carried = link.carried;
     if (!std::exchange(link.heard, true)) told(link, false);
     carried->data(bytes);
@@ -190,14 +190,15 @@
     if (link.gone) return;
     const auto carried = link.carried;
     if (carried && link.connected && !link.heard) told(link, true);
-    erase(link);
+    erase(link, link.connected ? LinkEnd::peer : LinkEnd::dial_failed);
     if (carried) carried->ended();
 }
 
 void Upstream::settle(Link& link) {
     if (!link.carried || !link.carried->over()) return;
     if (link.carried->lingering()) return;
-    if (!link.carried->reusable() || idle_[link.address].size() >= config_.max_idle) return erase(link);
+    if (!link.carried->reusable() || idle_[link.address].size() >= config_.max_idle)
+        return erase(link, LinkEnd::not_reusable);
     by_carried_.erase(link.carried.get());
     link.carried.reset();
     keep(link);
@@ -211,8 +212,9 @@
     if (!sweeping_) sweeping_ = true, sweeper_.after(config_.idle);
 }
 
-void Upstream::erase(Link& link) {
+void Upstream::erase(Link& link, LinkEnd why) {
     if (link.gone) return;
+    ++tally_.ended[static_cast<std::size_t>(why)];
     link.gone = true;
     if (link.carried) by_carried_.erase(link.carried.get());
     if (link.idle) std::erase(idle_[link.address], &link);
@@ -232,7 +234,7 @@
     bool left = false;
     for (auto& [address, links] : idle_) {
         for (std::size_t i = links.size(); i-- > 0;) {
-            if (now - links[i]->idle_since >= config_.idle) erase(*links[i]);
+            if (now - links[i]->idle_since >= config_.idle) erase(*links[i], LinkEnd::idle);
         }
         left |= !links.empty();
     }
@@ -250,7 +252,7 @@
 
 void Upstream::close(const Carried& carried) {
     const auto it = by_carried_.find(&carried);
-    if (it != by_carried_.end()) erase(*it->second);
+    if (it != by_carried_.end()) erase(*it->second, LinkEnd::called_off);
 }
 
 void Upstream::send_aside(const std::string& address, engine::Wanted wanted, Millis limit) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -4,6 +4,7 @@
 // when its last answer ended cleanly and nothing has come on it since.
 #pragma once
 
+#include <array>
 #include <list>
 #include <map>
 #include <memory>
@@ -17,6 +18,19 @@
 
 namespace gorsenotch::gateway {
 
+// Why a connection to a server ended.
+enum class LinkEnd {
+    dial_failed,    // it never came up
+    peer,           // the server closed it, or it broke
+    unasked_bytes,  // something came on an idle one
+    not_reusable,   // its answer did not end cleanly, or enough idle ones are kept
+    called_off,     // its request was given up
+    idle,           // without use for long
+    made_room
+};
+constexpr std::array<const char*, 7> kLinkEnds = {"dial_failed", "peer", "unasked_bytes", "not_reusable",
+                                                  "called_off",  "idle", "made_room"};
+
 class Upstream {
 public:
     struct Config {
@@ -40,6 +54,7 @@
     // Requests on new and on kept connections, and how many of each broke before any byte of an answer.
     struct Tally {
         std::uint64_t fresh = 0, fresh_broke = 0, kept = 0, kept_broke = 0;
+        std::array<std::uint64_t, kLinkEnds.size()> ended{};
     };
     const Tally& tally() const { return tally_; }
     bool idle_at(const std::string& address) const;  // a connection there waits for a request
@@ -59,7 +74,7 @@
     void told(const Link& link, bool broke);
     void settle(Link& link);  // after its request is over: keep or close
     void keep(Link& link);
-    void erase(Link& link);
+    void erase(Link& link, LinkEnd why);
     void sweep();
     void cleanup();  // frees what was closed, in a turn of its own
     void try_aside(Aside& aside);
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -67,13 +67,13 @@
         of.send(*this, http::last_chunk);
         handle = 0;
         // Guards against a client that has asked for the close and waits for it, in a place that others need.
-        if (!parser.keep_alive) return of.end(*this);
+        if (!parser.keep_alive) return of.end(*this, EndReason::asked_for);
         of.next(*this);
     }
     // What came is passed on before the connection ends, and a close over unread bytes would reset it.
     void cut() override {
         handle = 0;
-        of.end(*this);
+        of.end(*this, EndReason::stream_broken);
     }
     bool has_left() override { return stream->peer_closed(); }
     void final(int status, Millis pause, std::string_view why) override {
@@ -105,7 +105,7 @@
 void Clients::accept_failed() {
     ++tally_.accept_failed;
     Conn* resting = longest_resting();
-    if (resting && retire(*resting)) ++tally_.evicted;
+    if (resting) retire(*resting, EndReason::evicted);
 }
 
 void Clients::drain() { draining_ = true; }
@@ -116,7 +116,7 @@
     if (listener_ && listener_->take_pending()) listener_.reset();
     for (auto it = all_.begin(); it != all_.end();) {
         Conn& c = **it++;
-        if (c.resting()) retire(c);
+        if (c.resting()) retire(c, EndReason::departing);
     }
 }
 
@@ -148,8 +148,7 @@
     if (all_.size() - ending_ < config_.most) return true;
     Conn* resting = longest_resting();
     if (!resting) return false;
-    ++tally_.evicted;
-    return retire(*resting);
+    return retire(*resting, EndReason::evicted);
 }
 
 void Clients::accept(std::unique_ptr<net::Stream> stream) {
@@ -158,9 +157,8 @@
     Conn& c = adopt(std::move(stream));
     if (room) return;
     // Nothing of it is read, so its client may come again.
-    ++tally_.refused;
     c.out = "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-    end(c);
+    end(c, EndReason::no_room);
 }
 
 Clients::Conn& Clients::adopt(std::unique_ptr<net::Stream> stream) {
@@ -271,6 +269,9 @@
 
 void Clients::answer(Conn& c, int status, std::string_view why, Millis pause, bool close) {
     if (c.gone) return;
+    const EndReason reason = close                  ? EndReason::bad_request
+                             : !c.parser.keep_alive ? EndReason::asked_for
+                                                    : EndReason::departing;
     close |= c.last_answer();
     http::Headers headers = {{"content-type", "text/plain"},
                              {"content-length", std::to_string(why.size() + 1)}};
@@ -282,7 +283,7 @@
     if (close) headers.emplace_back("connection", "close");
     send(c, http::response_head(status, headers).append(why).append("\n"));
     if (!close) return next(c);
-    end(c);
+    end(c, reason);
 }
 
 // The answer is out: the connection is ready for the next request. Guards against requests that were read
@@ -293,11 +294,12 @@
     c.since = net::now(), c.began = 0;
     c.fresh = false;
     if (!c.ahead.empty()) return send(c, {});  // read in the turn's flush
-    if (departing_) retire(c);
+    if (departing_) retire(c, EndReason::departing);
 }
 
-void Clients::end(Conn& c) {
+void Clients::end(Conn& c, EndReason reason) {
     if (c.gone || c.state == Conn::State::ending) return;
+    ++tally_.ended[static_cast<std::size_t>(reason)];
     c.write_out();
     c.state = Conn::State::ending;
     ++ending_;
@@ -309,12 +311,12 @@
 
 // Guards against a request that is lost because its connection is ended in the moment in which it comes: a
 // request that has come already is served. One that comes later finds the FIN, and its client sends it again.
-bool Clients::retire(Conn& c) {
+bool Clients::retire(Conn& c, EndReason reason) {
     if (const auto denial = decide::may_close({!c.resting(), c.stream->unread()})) {
         ++tally_.close_denials[static_cast<std::size_t>(*denial)];
         return false;
     }
-    end(c);
+    end(c, reason);
     return true;
 }
 
@@ -332,13 +334,14 @@
 
 void Clients::lose(Conn& c) {
     const std::uint64_t handle = std::exchange(c.handle, 0);
+    if (!c.gone && c.state != Conn::State::ending) ++tally_.ended[static_cast<std::size_t>(EndReason::peer)];
     erase(c);
     if (handle) relay_.client_gone(handle);
 }
 
 void Clients::abandon(Conn& c) {
     const std::uint64_t handle = std::exchange(c.handle, 0);
-    end(c);
+    end(c, EndReason::too_much_ahead);
     if (handle) relay_.client_gone(handle);
 }
 
@@ -385,9 +388,9 @@
             answer(c, 408, "the request did not end in time", 0, true);
         } else if (c.fresh) {
             if (now - c.since < config_.patience) continue;
-            if (retire(c)) ++tally_.silent;
+            retire(c, EndReason::silent);
         } else if (now - c.since > (crowded ? config_.least_idle : config_.most_idle)) {
-            retire(c);
+            retire(c, EndReason::idle);
         }
     }
 }
--- a/src/platform/clients.h
+++ b/src/platform/clients.h
@@ -21,6 +21,23 @@
 
 namespace gorsenotch::platform {
 
+// Why a connection ended; all but `peer` are this side's doing.
+enum class EndReason {
+    peer,            // its client closed it, or it broke
+    asked_for,       // its client had asked for the close
+    idle,            // it had rested for long
+    silent,          // new, and nothing had come
+    evicted,         // it made room
+    no_room,         // refused unread
+    departing,       // this process stops
+    bad_request,     // what came can't be read, or did not end in time
+    too_much_ahead,  // behind an open request
+    stream_broken    // or handed back
+};
+constexpr std::array<const char*, 10> kEndReasons = {
+    "peer",    "asked_for", "idle",        "silent",         "evicted",
+    "no_room", "departing", "bad_request", "too_much_ahead", "stream_broken"};
+
 class Clients {
 public:
     static constexpr std::size_t kEndingMost = 16;
@@ -45,7 +62,9 @@
     std::size_t connections() const { return all_.size(); }
 
     struct Tally {
-        std::uint64_t accepted = 0, refused = 0, evicted = 0, silent = 0, bad = 0, accept_failed = 0;
+        std::uint64_t accepted = 0, bad = 0, accept_failed = 0;
+        std::array<std::uint64_t, kEndReasons.size()> ended{};
+        std::uint64_t of(EndReason reason) const { return ended[static_cast<std::size_t>(reason)]; }
         std::array<std::uint64_t, decide::kCloseDenials.size()> close_denials{};
     };
     const Tally& tally() const { return tally_; }
@@ -61,8 +80,10 @@
     void answer(Conn& c, int status, std::string_view why, Millis pause, bool close);
     void next(Conn& c);
     Conn& adopt(std::unique_ptr<net::Stream> stream);
-    void end(Conn& c);     // a FIN after what was written, what comes is thrown away, then gone
-    bool retire(Conn& c);  // ends one that rests; false: something lies unread on it, which is read first
+    void end(Conn& c,
+             EndReason reason);  // a FIN after what was written, what comes is thrown away, then gone
+    // Ends one that rests; false: something lies unread on it, which is read first.
+    bool retire(Conn& c, EndReason reason);
     void erase(Conn& c);
     void lose(Conn& c);     // it went under a request that may be open
     void abandon(Conn& c);  // it is given up under a request that may be open
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -210,11 +210,14 @@
     for (std::size_t i = 0; i < kDispositions.size(); ++i)
         dispositions[kDispositions[i]] = relay_.access().dispositions()[i];
     dispositions["not_logged"] = relay_.access().not_logged();
-    nlohmann::json violations, send_denials, close_denials;
+    nlohmann::json violations, send_denials, close_denials, client_ends, server_ends;
     for (std::size_t i = 0; i < decide::kRules.size(); ++i)
         violations[decide::kRules[i]] = relay_.audit().breaches()[i];
     for (std::size_t i = 0; i < decide::kSendDenials.size(); ++i)
         send_denials[decide::kSendDenials[i]] = c.send_denials[i];
+    for (std::size_t i = 0; i < gateway::kLinkEnds.size(); ++i)
+        server_ends[gateway::kLinkEnds[i]] = u.ended[i];
+    for (std::size_t i = 0; i < kEndReasons.size(); ++i) client_ends[kEndReasons[i]] = t.ended[i];
     for (std::size_t i = 0; i < decide::kCloseDenials.size(); ++i)
         close_denials[decide::kCloseDenials[i]] = t.close_denials[i];
     const auto result = [&](Result r) { return c.results[static_cast<int>(r)]; };
@@ -240,6 +243,8 @@
                 {"violations", violations},
                 {"send_denials", send_denials},
                 {"close_denials", close_denials},
+                {"client_ends", client_ends},
+                {"server_ends", server_ends},
                 {"results",
                  {{"read", result(Result::read_done)},
                   {"served", result(Result::served)},
@@ -254,10 +259,10 @@
                 {"fresh", {u.fresh, u.fresh_broke}},
                 {"kept", {u.kept, u.kept_broke}},
                 {"accepted", t.accepted},
-                {"turned_away", t.refused},
-                {"evicted", t.evicted},
+                {"turned_away", t.of(EndReason::no_room)},
+                {"evicted", t.of(EndReason::evicted)},
                 {"accept_failed", t.accept_failed},
-                {"silent", t.silent},
+                {"silent", t.of(EndReason::silent)},
                 {"bad", t.bad}});
 }
 
--- a/tests/soak/soak.mjs
+++ b/tests/soak/soak.mjs
@@ -87,6 +87,11 @@
   return failed;
 }
 
+// Ends with whoever started it, however that ends; the processes under test end with this one (see faults.c).
+const parent = process.ppid;
+setInterval(() => { if (process.ppid !== parent) process.exit(1); }, 500).unref();
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(1));
+
 let options;
 try { options = parse(process.argv.slice(2)); } catch (e) { console.error(`soak: ${e.message}`); process.exit(2); }
 let count = 0;
