--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <stdarg.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -253,6 +254,13 @@
     return REAL(open)(name, flags, mode);
 }
 
+FILE* fopen(const char* name, const char* how) {
+    const int e = strncmp(name, "/dev/", 5) != 0 && strncmp(name, "/proc/", 6) != 0 ? fails(OPEN_FILE) : 0;
+    if (e) return errno = e, NULL;
+    return REAL(fopen)(name, how);
+}
+FILE* fopen64(const char* name, const char* how) { return fopen(name, how); }
+
 static int64_t wall_offset_ms(void) {
     const struct Control* c = control();
     return c ? c->wall_offset_ms : 0;
