--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -11,6 +11,9 @@
 #include "state/journal.h"
 
 namespace gorsenotch::gateway {
+namespace {
+constexpr Millis kSaveAgain = 500;  // until a list is saved again whose save failed
+}  // namespace
 
 Gateway::Gateway(net::Loop& loop, settings::Program program, const ServeOptions& options)
     : loop_(loop),
@@ -21,7 +24,10 @@
                   const net::Doing doing(loop_, "timers");
                   return core_->tick();
               }),
-      drainer_(loop, [this] { drain_step(); }) {
+      drainer_(loop, [this] { drain_step(); }),
+      save_again_(loop, [this] {
+          if (to_save_) save_list(std::move(*to_save_));
+      }) {
     std::random_device device;
     const auto random = [&] { return (std::uint64_t{device()} << 32) | device(); };
     const std::uint64_t seed = p_.seed.value_or(random());
@@ -34,7 +40,9 @@
     loop_.on_sleep = [this](Millis due) { core_->sleeps(due); };
     loop_.on_look = [this] { core_->looked(loop_.looked()); };
     if (!options_.journal.empty()) {
-        journal_ = state::open_journal(options_.journal, seed);
+        journal_ = state::open_journal(options_.journal, seed, [this](const std::string& why) {
+            log("error", "journal", {{"why", why}});
+        });
         core_->witness = journal_.get();
     }
     server_ = std::make_unique<Server>(loop, p_, *core_, *this, random());
@@ -103,8 +111,12 @@
     std::vector<settings::FileFault> faults;
     std::optional<std::vector<settings::Engine>> engines;
     if (!settings::read_file(p_.fleet_file, text, why)) {
-        faults.push_back({0, "", why});
+        // Guards against a list missed for good, as the file has not changed when it can be read again.
+        if (watch_) watch_->look_again();
+        if (std::exchange(unreadable_, true)) return;
+        faults.push_back({0, "", why + "; tried again"});
     } else {
+        unreadable_ = false;
         engines = settings::parse_fleet(text, p_, faults);
     }
     // Guards against a half-written or wrong list: the one in force stays.
@@ -120,13 +132,20 @@
     if (saving_) return;
     saving_ = true;
     const auto why = std::make_shared<std::string>();
+    const auto list = std::make_shared<std::string>(*std::exchange(to_save_, std::nullopt));
     net::work(
-        loop_,
-        [saved = saved_, list = *std::exchange(to_save_, std::nullopt), why] { saved->save(list, *why); },
-        [this, alive = std::weak_ptr<bool>(alive_), why] {
+        loop_, [saved = saved_, list, why] { saved->save(*list, *why); },
+        [this, alive = std::weak_ptr<bool>(alive_), list, why] {
             if (alive.expired()) return;
-            if (!why->empty()) log("warn", "saved_list", {{"why", *why}});
             saving_ = false;
+            // Guards against an old list at the next start, as the folder was full or failing for a while.
+            if (!why->empty()) {
+                if (!std::exchange(save_failed_, true))
+                    log("warn", "saved_list", {{"why", *why + "; tried again"}});
+                if (!to_save_) to_save_ = std::move(*list);
+                return save_again_.after(kSaveAgain);
+            }
+            save_failed_ = false;
             if (to_save_) save_list(std::move(*to_save_));
         });
 }
--- a/src/gateway/serve.h
+++ b/src/gateway/serve.h
@@ -52,7 +52,8 @@
     std::unique_ptr<state::Witness> journal_;
     std::shared_ptr<state::Saved> saved_;  // also of the thread that saves
     std::optional<std::string> to_save_;   // newer than the one that is being saved
-    bool saving_ = false;
+    bool saving_ = false, save_failed_ = false;
+    bool unreadable_ = false;  // the fleet file could not be read the last time
     Millis slow_told_ = 0;
     long slow_turns_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -60,7 +61,7 @@
     std::unique_ptr<Core> core_;
     std::unique_ptr<Server> server_;
     Ticker ticker_;
-    net::Timer drainer_;
+    net::Timer drainer_, save_again_;
     bool ended_ = false;
     Millis drain_until_ = 0;
     std::function<void()> drained_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -591,6 +591,8 @@
     timer_.after(0);
 }
 
+void FileWatch::look_again() { seen_.clear(); }
+
 void FileWatch::look() {
     struct stat s {};
     std::string mark;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -191,7 +191,8 @@
 class FileWatch {
 public:
     FileWatch(Loop& loop, std::string file, Millis every, std::function<void()> changed);
-    void look();  // now, and again after `every`
+    void look();        // now, and again after `every`
+    void look_again();  // the next look tells of the file as if it had changed
 
 private:
     std::string file_, seen_;
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -180,7 +180,8 @@
 
 class Journal : public Witness {
 public:
-    Journal(const std::string& file, std::uint64_t seed) {
+    Journal(const std::string& file, std::uint64_t seed, std::function<void(const std::string&)> on_stopped)
+        : file_(file), on_stopped_(std::move(on_stopped)) {
         // An earlier life may have been killed within a line.
         std::ifstream old(file, std::ios::binary | std::ios::ate);
         const bool torn = old && old.tellg() > 0 && old.seekg(-1, std::ios::end).get() != '\n';
@@ -192,18 +193,26 @@
     void event(Millis now, const Event& e) override {
         Json j = event_json(e);
         j["t"] = now;
-        out_ << j.dump() << '\n';
+        write(j);
     }
-    void action(const Action& a) override { out_ << action_json(a).dump() << '\n'; }
+    void action(const Action& a) override { write(action_json(a)); }
 
 private:
+    void write(const Json& line) {
+        if (!out_) return;
+        out_ << line.dump() << '\n';
+        if (!out_ && on_stopped_) on_stopped_(file_ + ": a write failed, the journal ends there");
+    }
+    const std::string file_;
+    const std::function<void(const std::string&)> on_stopped_;
     std::ofstream out_;
 };
 
 }  // namespace
 
-std::unique_ptr<Witness> open_journal(const std::string& file, std::uint64_t seed) {
-    auto j = std::make_unique<Journal>(file, seed);
+std::unique_ptr<Witness> open_journal(const std::string& file, std::uint64_t seed,
+                                      std::function<void(const std::string&)> on_stopped) {
+    auto j = std::make_unique<Journal>(file, seed, std::move(on_stopped));
     if (!j->good()) return nullptr;
     return j;
 }
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -2,6 +2,7 @@
 // events through the module (`gorsenotch replay`), which must give the same actions again.
 #pragma once
 
+#include <functional>
 #include <iosfwd>
 #include <memory>
 #include <string>
@@ -10,8 +11,10 @@
 
 namespace gorsenotch::state {
 
-// Null if the file can't be written. The first line holds the seed.
-std::unique_ptr<Witness> open_journal(const std::string& file, std::uint64_t seed);
+// Null if the file can't be written. The first line holds the seed. Where a write fails later the journal
+// ends there, as what followed a gap would not replay, and `on_stopped` is told why, once.
+std::unique_ptr<Witness> open_journal(const std::string& file, std::uint64_t seed,
+                                      std::function<void(const std::string& why)> on_stopped = nullptr);
 
 struct Replay {
     long events = 0, actions = 0;
