--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -12,6 +12,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "module/records.h"
 #include "numeric/estimators.h"
 #include "numeric/hash.h"
 #include "numeric/hash_ring.h"
@@ -19,6 +20,15 @@
 namespace gorsenotch {
 namespace {
 
+using module::Cell;
+using module::kNever;
+using module::kRateSpan;
+using module::reading;
+using module::Request;
+using module::Server;
+using module::Stage;
+using module::streaming;
+using module::waiting;
 using numeric::CompletionTime;
 using numeric::DecayingRate;
 using numeric::hash_fraction;
@@ -58,7 +68,6 @@
 constexpr double kRetryLeast = 4;         // further attempts that any gateway starts with
 constexpr double kCompletionSpan = 4000;  // ms over which the usual times fade
 constexpr double kPriorWeight = 2;        // completions that the prior of a completion time stands for
-constexpr double kRateSpan = 3000;        // ms over which rates are averaged
 constexpr double kTransit = 0.5;          // part of the dial time-out within which what is sent has arrived
 // Of a role with more servers than the first a choice looks at the second, from the request's place on a ring
 // of all.
@@ -66,74 +75,6 @@
 constexpr std::size_t kSurveyedEachTick = 256;  // servers, in the mean
 constexpr std::uint64_t kTick = 0;              // timer label of the periodic check; others number requests
 
-constexpr Millis kNever = 1e18;
-
-enum Stage { reading = 0, waiting = 1, streaming = 2 };
-
-struct Server {
-    ServerEntry entry;
-    Role role = Role::both;
-    Millis listed = 0;            // by the latest list that had it
-    Millis cold_since = -kNever;  // when it last started, as listed or as concluded from a return
-    // own load
-    std::array<int, 3> out{};  // attempts out by stage
-    double to_read = 0;        // own reads out, in thousands of tokens not expected to be kept there
-    double held = 0;           // tokens of own reads and waiting states, abandoned_reads included
-    std::deque<std::pair<Millis, double>>
-        abandoned_reads;  // given up on, but perhaps still worked at: until, tokens
-    // reports
-    double others = 0;  // tokens held for others by the latest report
-    Millis heard = -kNever;
-    double memory_share = -1;
-    // health
-    double errors = 0;
-    std::array<double, 3> slow{};  // evidence of slowness by stage
-    bool suspect = false, was_down = false;
-    bool broken = false;  // a connection did not come up, and nothing has been answered since
-    Millis retry_at = 0, pause = 0, suspected = 0;
-    double allow = 0;            // requests out at once while suspect
-    std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
-    Millis full_until = -kNever, answered = -kNever;
-    DecayingRate sends{kRateSpan};
-    std::deque<Millis> recent;  // sends within the fall window
-
-    bool reads() const { return role != Role::write; }
-    bool writes() const { return role != Role::read; }
-    int total() const { return out[reading] + out[waiting] + out[streaming]; }
-};
-
-struct Cell {
-    int zone = 0;
-    double read = 0, write = 0, pull = 1;  // shares of what is read and written; see pull
-    double spent = 0, reads = 0;  // parts of the aims spent on reads there and on its link; both fade
-};
-
-struct Request {
-    Arrival a;
-    std::uint64_t serial = 0;
-    Millis arrived = 0;
-    int attempts = 0;
-    bool ended = false;  // nothing more is owed: the stream has begun, or a final answer is out
-    bool final = false;  // a final answer is out
-    // the attempt out
-    bool out = false, stopped = false, excused = false;  // excused: out while this gateway stood still
-    Stage stage = reading;
-    ServerId server = 0;
-    Millis sent = 0, stage_since = 0;  // less own standstills since; see watch
-    Millis handed = 0;                 // when it was sent in truth
-    // Queue at the send: thousands of tokens to read, or sends waiting; for a stream its hinted length.
-    double units = 1;
-    // the read state
-    bool state = false;
-    ServerId reader = 0;
-    Millis kept_since = 0;         // since when it stands with no attempt out that has reached a server
-    std::vector<ServerId> failed;  // where an attempt of its failed
-    // effects
-    bool may_have_run = false;
-    ServerId ran_at = 0;
-    Millis ran_sent = 0;
-};
-
 }  // namespace
 
 class Router::Impl {
@@ -541,15 +482,35 @@
     }
 
     Server* pick_reader_among(Request& r) {
-        Server* writer = nullptr;
         const auto& readers = candidates(ring(Role::read), reader_window(r), reader_candidates_);
+        const std::vector<Server*> fit = usable_readers(r, readers);
+        if (fit.empty()) return nullptr;
+        const std::vector<double> load = reader_loads(fit);
+        const std::vector<Server*> near = readers_near_least(r, fit, load);
+        if (const std::uint64_t key = home_key(r)) {
+            // Of a window's readers those that can be used stand for all.
+            const std::size_t usable_in_all =
+                readers.empty() ? fit.size() : fit.size() * ring(Role::read).size() / readers.size();
+            return home_among(r, key, near, usable_in_all);
+        }
+        std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
+        for (std::size_t i = 0; i < fit.size(); ++i) {
+            if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
+            last.push_back({{load[i], uniform()}, fit[i]});
+        }
+        return least_of(last);
+    }
+
+    // Those that may read it now: plain readers, and mixed servers by rule 3. A mixed server that reads also
+    // writes, so it is asked when it has room and the writer that would be picked has none, or when no plain
+    // reader is there.
+    std::vector<Server*> usable_readers(Request& r, const std::vector<Server*>& readers) {
+        Server* writer = nullptr;
         std::vector<Server*> fit;
         for (int strict = 1; strict >= 0 && fit.empty(); --strict) {
             for (Server* s : readers) {
                 if (usable(*s, r, strict)) fit.push_back(s);
             }
-            // Rule 3: a mixed server that reads also writes, so it is asked when it has room and the writer
-            // that would be picked has none, or when no plain reader is there.
             if (!writer) writer = pick_writer(r);
             const bool no_room = !writer || !has_room(*writer);
             if (!fit.empty() && !no_room) continue;
@@ -557,25 +518,34 @@
                 if (usable(*s, r, strict) && (fit.empty() || has_room(*s))) fit.push_back(s);
             }
         }
-        if (fit.empty()) return nullptr;
+        return fit;
+    }
+
+    // The share of its memory that each holds, own reads and what is known of others'; unheard ones count as
+    // average.
+    std::vector<double> reader_loads(const std::vector<Server*>& fit) const {
         double known = 0, heard = 0;
-        for (Server* s : fit) {
-            if (now_ - s->heard < kRateSpan) {
-                known += s->others / memory(*s);
-                ++heard;
-            }
+        for (const Server* s : fit) {
+            if (now_ - s->heard >= kRateSpan) continue;
+            known += s->others / memory(*s);
+            ++heard;
         }
         std::vector<double> load;
-        double least = kNever, sum = 0;
-        for (Server* s : fit) {
+        for (const Server* s : fit) {
             const bool fresh = now_ - s->heard < kRateSpan;
             const double others = fresh ? s->others / memory(*s) : heard > 0 ? known / heard : 0;
             load.push_back(others + s->held / memory(*s));
-            least = std::min(least, load.back());
-            sum += load.back();
         }
+        return load;
+    }
+
+    // Those within the margin of the least load, in the own zone or out of it.
+    std::vector<Server*> readers_near_least(const Request& r, const std::vector<Server*>& fit,
+                                            const std::vector<double>& load) {
         // Of most readers nothing is known: the few heard of must not draw all from their homes.
-        if (sparse()) least = sum / static_cast<double>(fit.size());
+        const double least =
+            sparse() ? std::accumulate(load.begin(), load.end(), 0.0) / static_cast<double>(fit.size())
+                     : *std::min_element(load.begin(), load.end());
         // A prompt read away from its home is read in full. So the margin grows with what home saves:
         // otherwise the first jam scatters the beginnings, each read gets longer, and the jam stays.
         const double saves = std::clamp(r.a.prompt_tokens / (1000 * fresh(r)), kMarginLeast, kMarginMost);
@@ -588,43 +558,39 @@
             near.push_back(fit[i]);
             own_zone |= fit[i]->entry.zone == s_.own_zone && load[i] <= least + kMarginLeast * prompt;
         }
-        // Where own queues show too little, a zone reads what its share of the readers covers, taking every
-        // zone for as busy. Guards against a jam in a zone with few readers while others idle.
-        if (own_zone) {
-            double own = 0, all = 0;
-            for (const Server* s : fit) {
-                const double part = std::pow(pull(*s), blind() ? 4 : 2);
-                all += part;
-                own += s->entry.zone == s_.own_zone ? part : 0;
-            }
-            const bool stays = !sparse() || hash_fraction(r.a.session, 0) * all <= own * s_.zones;
-            const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
-            if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
+        if (own_zone) keep_zone(r, fit, near);
+        return near;
+    }
+
+    // Leaves those of the own zone, or of the others. Where own queues show too little, a zone reads what its
+    // share of the readers covers, taking every zone for as busy. Guards against a jam in a zone with few
+    // readers while others idle.
+    void keep_zone(const Request& r, const std::vector<Server*>& fit, std::vector<Server*>& near) {
+        double own = 0, all = 0;
+        for (const Server* s : fit) {
+            const double part = std::pow(pull(*s), blind() ? 4 : 2);
+            all += part;
+            own += s->entry.zone == s_.own_zone ? part : 0;
         }
-        // Sessions that share a beginning share its home and meet their texts there. By the list, as a next
-        // turn comes elsewhere: rendezvous weighted by pull.
-        const bool own = own_home(r);
-        if (const std::uint64_t key = home_key(r)) {
-            std::vector<std::pair<double, Server*>> by;
-            for (Server* s : near)
-                by.push_back({-std::log(hash_fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
-            // Of a window's readers those that can be used stand for all.
-            const std::size_t usable_readers =
-                readers.empty() ? fit.size() : fit.size() * ring(Role::read).size() / readers.size();
-            const std::size_t homes =
-                own ? 1 : std::min(by.size(), homes_of_opening(r.a.prefix, usable_readers));
-            const auto rank =
-                static_cast<std::size_t>(hash_fraction(r.a.session, 1) * static_cast<double>(homes));
-            const auto at = by.begin() + static_cast<std::ptrdiff_t>(rank);
-            std::nth_element(by.begin(), at, by.end());
-            return at->second;
-        }
-        std::vector<std::pair<std::pair<double, double>, Server*>> last;  // it has no home: the least
-        for (std::size_t i = 0; i < fit.size(); ++i) {
-            if (std::find(near.begin(), near.end(), fit[i]) == near.end()) continue;
-            last.push_back({{load[i], uniform()}, fit[i]});
-        }
-        return least_of(last);
+        const bool stays = !sparse() || hash_fraction(r.a.session, 0) * all <= own * s_.zones;
+        const auto other = [&](Server* s) { return (s->entry.zone == s_.own_zone) != stays; };
+        if (!std::all_of(near.begin(), near.end(), other)) std::erase_if(near, other);
+    }
+
+    // Sessions that share a beginning share its home and meet their texts there. By the list, as a next turn
+    // comes elsewhere: rendezvous weighted by pull.
+    Server* home_among(const Request& r, std::uint64_t key, const std::vector<Server*>& near,
+                       std::size_t usable_in_all) {
+        std::vector<std::pair<double, Server*>> by;
+        for (Server* s : near)
+            by.push_back({-std::log(hash_fraction(key, s->entry.server) + 1e-18) / pull(*s), s});
+        const std::size_t homes =
+            own_home(r) ? 1 : std::min(by.size(), homes_of_opening(r.a.prefix, usable_in_all));
+        const auto rank =
+            static_cast<std::size_t>(hash_fraction(r.a.session, 1) * static_cast<double>(homes));
+        const auto at = by.begin() + static_cast<std::ptrdiff_t>(rank);
+        std::nth_element(by.begin(), at, by.end());
+        return at->second;
     }
 
     // How many readers share a beginning. Guards against a hot beginning whose home jams, as where visits are
--- /dev/null
+++ b/src/module/records.h
@@ -0,0 +1,85 @@
+// What the decision module remembers of servers, cells and requests. Records only: what they mean for a
+// choice is decided in logic.cpp. Times are ms on the Router's clock, lengths are tokens.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include "gorsenotch/logic.h"
+#include "numeric/estimators.h"
+
+namespace gorsenotch::module {
+
+constexpr Millis kNever = 1e18;
+constexpr double kRateSpan = 3000;  // ms over which rates are averaged
+
+enum Stage { reading = 0, waiting = 1, streaming = 2 };
+
+struct Server {
+    ServerEntry entry;
+    Role role = Role::both;
+    Millis listed = 0;            // by the latest list that had it
+    Millis cold_since = -kNever;  // when it last started, as listed or as concluded from a return
+    // own load
+    std::array<int, 3> out{};  // attempts out by stage
+    double to_read = 0;        // own reads out, in thousands of tokens not expected to be kept there
+    double held = 0;           // tokens of own reads and waiting states, abandoned_reads included
+    std::deque<std::pair<Millis, double>>
+        abandoned_reads;  // given up on, but perhaps still worked at: until, tokens
+    // reports
+    double others = 0;  // tokens held for others by the latest report
+    Millis heard = -kNever;
+    double memory_share = -1;
+    // health
+    double errors = 0;
+    std::array<double, 3> slow{};  // evidence of slowness by stage
+    bool suspect = false, was_down = false;
+    bool broken = false;  // a connection did not come up, and nothing has been answered since
+    Millis retry_at = 0, pause = 0, suspected = 0;
+    double allow = 0;            // requests out at once while suspect
+    std::vector<Millis> failed;  // by class: when the last attempt failed, if the last did
+    Millis full_until = -kNever, answered = -kNever;
+    numeric::DecayingRate sends{kRateSpan};
+    std::deque<Millis> recent;  // sends within the fall window
+
+    bool reads() const { return role != Role::write; }
+    bool writes() const { return role != Role::read; }
+    int total() const { return out[reading] + out[waiting] + out[streaming]; }
+};
+
+struct Cell {
+    int zone = 0;
+    double read = 0, write = 0, pull = 1;  // shares of what is read and written; see pull
+    double spent = 0, reads = 0;  // parts of the aims spent on reads there and on its link; both fade
+};
+
+struct Request {
+    Arrival a;
+    std::uint64_t serial = 0;
+    Millis arrived = 0;
+    int attempts = 0;
+    bool ended = false;  // nothing more is owed: the stream has begun, or a final answer is out
+    bool final = false;  // a final answer is out
+    // the attempt out
+    bool out = false, stopped = false, excused = false;  // excused: out while this gateway stood still
+    Stage stage = reading;
+    ServerId server = 0;
+    Millis sent = 0, stage_since = 0;  // less own standstills since; see watch
+    Millis handed = 0;                 // when it was sent in truth
+    // Queue at the send: thousands of tokens to read, or sends waiting; for a stream its hinted length.
+    double units = 1;
+    // the read state
+    bool state = false;
+    ServerId reader = 0;
+    Millis kept_since = 0;         // since when it stands with no attempt out that has reached a server
+    std::vector<ServerId> failed;  // where an attempt of its failed
+    // effects
+    bool may_have_run = false;
+    ServerId ran_at = 0;
+    Millis ran_sent = 0;
+};
+
+}  // namespace gorsenotch::module
