--- a/tests/soak/clients.mjs
+++ b/tests/soak/clients.mjs
@@ -82,7 +82,8 @@
     this.ended = false;
     this.connected = false;
     clients.all.add(this);
-    this.socket = net.connect(PORT, clients.gateway.address);
+    // Half-open, so that a reset that follows the gateway's FIN is seen.
+    this.socket = net.connect({ port: PORT, host: clients.gateway.address, allowHalfOpen: true });
     this.socket.setNoDelay(true);
     this.socket.setEncoding('latin1');
     this.socket.on('connect', () => {
