--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -2,7 +2,7 @@
 // discovery and model servers on loopback: serve, refuse, break, drain, bad clients, SIGHUP, SIGTERM.
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
@@ -326,3 +326,24 @@
   assert.match(r.err, /discovery: 'nowhere'/);
   rmSync(dir, { recursive: true });
 });
+
+test('an address to listen on that this host does not have ends the gateway with exit code 4', async () => {
+  const dir = mkdtempSync(path.join(tmpdir(), 'gorsenotch-node-'));
+  const own = new Gateway();
+  own.dir = dir;
+  own.file = path.join(dir, 'config.json');
+  own.port = 5000;
+  own.known = [];
+  own.write(discovery.port);
+  const text = readFileSync(own.file, 'utf8').replace('127.0.0.1:5000', '192.0.2.1:5000');
+  writeFileSync(own.file, text);
+  const child = spawn(program, ['node'], { stdio: ['ignore', 'ignore', 'pipe'], env: { ...process.env, GW_CONFIG: own.file } });
+  let err = '';
+  child.stderr.on('data', (d) => { err += d; });
+  const ended = new Promise((done) => child.on('close', (code) => done(code)));
+  const timer = setTimeout(() => child.kill('SIGKILL'), 3000);
+  assert.equal(await ended, 4, err);
+  clearTimeout(timer);
+  assert.match(err, /GW_LISTEN: /);
+  rmSync(dir, { recursive: true });
+});
