Errors of a listener and of a connection are classed apart; a gone link is not dialled again

EADDRNOTAVAIL is a want of this host for connect, and a wrong address for bind: the gateway ends with exit code 4 again. A connection that is to be tried again after a want of this host's is not, once its request was given up meanwhile (it was closed one turn later).

--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -132,10 +132,12 @@
     if (link.dial) link.dial->stop();
     if (error != 0) {
         // Guards against a server blamed, or an attempt lost, for what this host is short of for a moment.
-        const auto what = net::classify_open_error(error);
+        const auto what = net::classify_connect_error(error);
         const bool own = what == net::ErrorClass::host_resources || what == net::ErrorClass::retry_now;
         if (own && link.stream && net::now() + kDialPause < link.dial_until) {
-            link.dial = std::make_unique<net::Timer>(loop_, [this, &link] { dial(link); });
+            link.dial = std::make_unique<net::Timer>(loop_, [this, &link] {
+                if (!link.gone) dial(link);
+            });
             return link.dial->after(kDialPause);
         }
         const auto carried = link.carried;
--- a/src/net/errors.cpp
+++ b/src/net/errors.cpp
@@ -21,7 +21,12 @@
 
 }  // namespace
 
-ErrorClass classify_open_error(int code) {
+ErrorClass classify_listen_error(int code) {
+    if (code == 0) return ErrorClass::none;
+    return short_of_resources(code) ? ErrorClass::host_resources : ErrorClass::other;
+}
+
+ErrorClass classify_connect_error(int code) {
     if (code == 0) return ErrorClass::none;
     if (short_of_resources(code)) return ErrorClass::host_resources;
     switch (code) {
--- a/src/net/errors.h
+++ b/src/net/errors.h
@@ -4,18 +4,19 @@
 namespace gorsenotch::net {
 
 enum class ErrorClass {
-    none,             // no error
-    retry_now,        // the call was interrupted, or concerned something that is gone already: call again
-    retry_later,      // nothing is there yet
-    host_resources,   // this host is short of descriptors, memory, ports or routes: try again soon, blame no
-                      // peer
-    peer,             // the peer or the way to it: refused, unreachable, no answer
-    connection_over,  // an established connection has ended
-    other,            // a fault of the caller or of the configuration
+    none,            // no error
+    retry_now,       // the call was interrupted, or concerned something that is gone already: call again
+    retry_later,     // nothing is there yet
+    host_resources,  // this host is short of descriptors, memory, ports or routes: try again soon, blame no
+                     // peer
+    peer,            // the peer or the way to it: refused, unreachable, no answer
+    other,           // a fault of the caller or of the configuration
 };
 
-// Of a call on a socket that is being opened: socket, bind, listen, connect.
-ErrorClass classify_open_error(int code);
+// Of opening a connection: socket and connect.
+ErrorClass classify_connect_error(int code);
+// Of opening a listener: socket, bind and listen. An address that this host does not have is no passing want.
+ErrorClass classify_listen_error(int code);
 // Of accept: Linux passes pending network errors of the new connection on, which say nothing of the listener.
 ErrorClass classify_accept_error(int code);
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -120,7 +120,7 @@
     open_ = true;
     opener_.stop();
     const int code = clients_.listen();
-    if (net::classify_open_error(code) == net::ErrorClass::host_resources) {
+    if (net::classify_listen_error(code) == net::ErrorClass::host_resources) {
         // Guards against a process that ends for a want of this host's that may be over in a moment.
         open_ = false;
         if (!std::exchange(listen_failed_, true))
