--- a/src/platform/clients.h
+++ b/src/platform/clients.h
@@ -80,8 +80,8 @@
     void answer(Conn& c, int status, std::string_view why, Millis pause, bool close);
     void next(Conn& c);
     Conn& adopt(std::unique_ptr<net::Stream> stream);
-    void end(Conn& c,
-             EndReason reason);  // a FIN after what was written, what comes is thrown away, then gone
+    // A FIN after what was written; what comes is thrown away, then it is gone.
+    void end(Conn& c, EndReason reason);
     // Ends one that rests; false: something lies unread on it, which is read first.
     bool retire(Conn& c, EndReason reason);
     void erase(Conn& c);
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -52,6 +52,14 @@
     return k;
 }
 
+// Counts by name, for the status line.
+template <std::size_t N>
+nlohmann::json counts(const std::array<const char*, N>& names, const std::array<std::uint64_t, N>& values) {
+    nlohmann::json out;
+    for (std::size_t i = 0; i < N; ++i) out[names[i]] = values[i];
+    return out;
+}
+
 std::string variable(const char* name) {
     const char* v = std::getenv(name);
     return v ? v : "";
@@ -206,20 +214,8 @@
     const auto& released = relay_.release_counts();
     const auto& t = clients_.tally();
     const auto& u = upstream_.tally();
-    nlohmann::json dispositions;
-    for (std::size_t i = 0; i < kDispositions.size(); ++i)
-        dispositions[kDispositions[i]] = relay_.access().dispositions()[i];
+    nlohmann::json dispositions = counts(kDispositions, relay_.access().dispositions());
     dispositions["not_logged"] = relay_.access().not_logged();
-    nlohmann::json violations, send_denials, close_denials, client_ends, server_ends;
-    for (std::size_t i = 0; i < decide::kRules.size(); ++i)
-        violations[decide::kRules[i]] = relay_.audit().breaches()[i];
-    for (std::size_t i = 0; i < decide::kSendDenials.size(); ++i)
-        send_denials[decide::kSendDenials[i]] = c.send_denials[i];
-    for (std::size_t i = 0; i < gateway::kLinkEnds.size(); ++i)
-        server_ends[gateway::kLinkEnds[i]] = u.ended[i];
-    for (std::size_t i = 0; i < kEndReasons.size(); ++i) client_ends[kEndReasons[i]] = t.ended[i];
-    for (std::size_t i = 0; i < decide::kCloseDenials.size(); ++i)
-        close_denials[decide::kCloseDenials[i]] = t.close_denials[i];
     const auto result = [&](Result r) { return c.results[static_cast<int>(r)]; };
     log::write("info", "state",
                {{"up_ms", std::round(net::now() - started_)},
@@ -240,11 +236,11 @@
                 {"moved", c.moved},
                 {"attempts", c.attempts},
                 {"dispositions", dispositions},
-                {"violations", violations},
-                {"send_denials", send_denials},
-                {"close_denials", close_denials},
-                {"client_ends", client_ends},
-                {"server_ends", server_ends},
+                {"violations", counts(decide::kRules, relay_.audit().breaches())},
+                {"send_denials", counts(decide::kSendDenials, c.send_denials)},
+                {"close_denials", counts(decide::kCloseDenials, t.close_denials)},
+                {"client_ends", counts(kEndReasons, t.ended)},
+                {"server_ends", counts(gateway::kLinkEnds, u.ended)},
                 {"results",
                  {{"read", result(Result::read_done)},
                   {"served", result(Result::served)},
