--- a/src/net/ports.cpp
+++ b/src/net/ports.cpp
@@ -1,13 +1,17 @@
 #include "net/ports.h"
 
+#include <memory>
+
 namespace gorsenotch::net {
 
 std::vector<int> free_ports(Loop& loop, const std::string& host, std::size_t count) {
+    // All are held until the last is chosen. Guards against two that are the same.
+    std::vector<std::unique_ptr<Listener>> held;
     std::vector<int> ports;
     while (ports.size() < count) {
-        Listener listener(loop);
-        if (listener.listen(host + ":0") != 0) return {};
-        ports.push_back(listener.port());
+        held.push_back(std::make_unique<Listener>(loop));
+        if (held.back()->listen(host + ":0") != 0) return {};
+        ports.push_back(held.back()->port());
     }
     return ports;
 }
