Refusals and failures tell the module's cause in the request line and the status line

Refuse and Fail carry an EndCause now, for logs alone: nothing reads it to decide. Counted as end_causes in the status line.

--- a/include/gorsenotch/logic.h
+++ b/include/gorsenotch/logic.h
@@ -188,12 +188,28 @@
 struct DropState {  // let go of every state and place held that no attempt waits for
     RequestId request;
 };
+// Why a request got its final answer unserved. Told for logs alone; it changes nothing that is done.
+enum class EndCause {
+    deadline,       // its time is over
+    load,           // shed, as the wait foreseen is too long for its worth
+    no_writer,      // on arrival: every writer is down
+    attempts_used,  // as many as the settings allow
+    may_have_run,   // and its class may not be repeated
+    retry_budget,   // this gateway's retries are used up
+    no_server,      // none may get it now: down, full, cold, or outside the group or window of its repeats
+    late_write,     // read, but the aim is out of reach and others wait for the writer
+    shutdown,
+};
+constexpr std::size_t kEndCauses = 9;
+
 struct Refuse {  // final: did not run, may come again
     RequestId request;
     Millis pause = 0;  // advice when to come again; 0: none
+    EndCause cause = EndCause::deadline;
 };
 struct Fail {  // final: may have run
     RequestId request;
+    EndCause cause = EndCause::deadline;
 };
 struct MoveStream {  // hand a begun stream back to its client, which comes again
     RequestId request;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -138,7 +138,9 @@
         ++seen_;
         prompt_ += (a.prompt_tokens - prompt_) / seen;
         fresh_ += (fresh(r) - fresh_) / seen;
-        if (a.deadline <= now_ || !writer_in_reach() || shed(r)) return end(r);
+        if (a.deadline <= now_) return end(r, EndCause::deadline);
+        if (!writer_in_reach()) return end(r, EndCause::no_writer);
+        if (shed(r)) return end(r, EndCause::load);
         act(SetTimer{r.serial, std::max(now_, a.deadline - s_.step)});
         advance(r);
     }
@@ -249,7 +251,7 @@
         if (it == by_serial_.end()) return;
         Request& r = requests_.at(it->second);
         if (r.ended || (r.out && r.stage == streaming)) return;
-        end(r);
+        end(r, EndCause::deadline);
     }
 
     // Who may be refused and who has to be failed is decided here, as the attempts are known here.
@@ -258,7 +260,7 @@
         for (const auto& [id, request] : requests_) {
             if (!request.ended) unanswered.push_back(id);
         }
-        for (const auto& id : unanswered) end(requests_.at(id));
+        for (const auto& id : unanswered) end(requests_.at(id), EndCause::shutdown);
     }
 
     // ---- servers by role ------------------------------------------------------------------------------
@@ -322,11 +324,13 @@
 
     // Sends the request to its next stage, or ends it.
     void advance(Request& r) {
-        if (r.a.deadline <= now_ || r.attempts >= s_.max_attempts) return end(r);
-        if (r.may_have_run && s_.classes[cls(r)].effect == Effect::once) return end(r);
+        if (r.a.deadline <= now_) return end(r, EndCause::deadline);
+        if (r.attempts >= s_.max_attempts) return end(r, EndCause::attempts_used);
+        if (r.may_have_run && s_.classes[cls(r)].effect == Effect::once)
+            return end(r, EndCause::may_have_run);
         // Guards against retry storms: each attempt past the ordinary read and write takes from the budget.
         if (r.attempts > (r.state ? 1 : 0)) {
-            if (retries_ < 1) return end(r);
+            if (retries_ < 1) return end(r, EndCause::retry_budget);
             retries_ -= 1;
         }
         // Guards against a state pinned while one connection after another does not come up, as no attempt is
@@ -341,12 +345,12 @@
         if (!r.state) to = pick_reader(r);
         const Stage stage = r.state || !to ? waiting : reading;
         if (!to && (r.state || s_.local_read)) to = pick_writer(r);
-        if (!to) return end(r);
+        if (!to) return end(r, EndCause::no_server);
         // Guards against writers kept busy with late answers, which earn little: when others wait and the aim
         // is out of reach, the read is given up. May do harm where late answers are worth much.
         if (r.state && !r.a.resumed && to->out[waiting] > 1 &&
             now_ - r.arrived + completion_time(waiting, r).value() * (to->out[waiting] + 1) > aim(r)) {
-            return end(r);
+            return end(r, EndCause::late_write);
         }
         send(r, *to, stage);
     }
@@ -432,16 +436,16 @@
     }
 
     // Gives the one final answer, at once.
-    void end(Request& r) {
+    void end(Request& r, EndCause cause) {
         if (r.ended) return;
         const ClassSettings& c = s_.classes[cls(r)];
         // An attempt still out, a read too, may count as run.
         const bool harmless = c.effect == Effect::repeatable || !(r.may_have_run || r.out) ||
                               (c.effect == Effect::by_key && c.group == Group::all);
         if (harmless) {
-            act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait(r)) : 0});
+            act(Refuse{r.a.request, s_.retry_after ? std::min(s_.max_retry_after, wait(r)) : 0, cause});
         } else {
-            act(Fail{r.a.request});
+            act(Fail{r.a.request, cause});
         }
         r.final = r.ended = true;
         release(r);
--- a/src/platform/access_log.cpp
+++ b/src/platform/access_log.cpp
@@ -28,8 +28,9 @@
     return slow ? Disposition::slow_stream : Disposition::in_time;
 }
 
-bool AccessLog::count(Millis now, Disposition disposition) {
+bool AccessLog::count(Millis now, Disposition disposition, std::optional<EndCause> cause) {
     ++dispositions_[static_cast<std::size_t>(disposition)];
+    if (cause) ++causes_[static_cast<std::size_t>(*cause)];
     if (disposition == Disposition::in_time) return false;
     if (now - second_ >= 1000) second_ = now, lines_ = 0;
     if (++lines_ <= kLinesPerSecond) return true;
@@ -40,6 +41,7 @@
 std::string AccessLog::line(const RequestRecord& p, Disposition disposition) {
     std::string s(p.txn);
     s.append(" ").append(kDispositions[static_cast<std::size_t>(disposition)]);
+    if (p.cause) s.append(" cause ").append(kEndCauseNames[static_cast<std::size_t>(*p.cause)]);
     s.append(" class ").append(std::to_string(p.cls));
     s.append(" prompt ").append(whole(p.prompt_tokens));
     if (p.first >= 0) s.append(" first ").append(whole(p.first));
--- a/src/platform/access_log.h
+++ b/src/platform/access_log.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,10 @@
     "in_time", "late_read", "late_write", "slow_stream", "refused_unsent",
     "refused", "failed",    "broken",     "moved",       "gone"};
 
+constexpr std::array<const char*, kEndCauses> kEndCauseNames = {
+    "deadline",     "load",      "no_writer",  "attempts_used", "may_have_run",
+    "retry_budget", "no_server", "late_write", "shutdown"};
+
 // One attempt as the log tells of it; times are ms since the request's first byte.
 struct AttemptRecord {
     std::string server;
@@ -45,6 +50,7 @@
     int cls = 0;
     double prompt_tokens = 0, tokens = 0;  // tokens: of the answer, 0 where it did not say
     Millis first = -1, ended = 0;          // the first token, if it came, and the end
+    std::optional<EndCause> cause;         // of a final answer without a stream
     std::vector<AttemptRecord> attempts;
 };
 
@@ -56,15 +62,17 @@
     // A whole answer is in time, late or slow.
     Disposition served(const RequestRecord& p) const;
     // Counts it; true if it is to be logged.
-    bool count(Millis now, Disposition disposition);
+    bool count(Millis now, Disposition disposition, std::optional<EndCause> cause = std::nullopt);
     static std::string line(const RequestRecord& p, Disposition disposition);
 
     const std::array<std::uint64_t, kDispositions.size()>& dispositions() const { return dispositions_; }
+    const std::array<std::uint64_t, kEndCauses>& causes() const { return causes_; }
     std::uint64_t not_logged() const { return not_logged_; }
 
 private:
     const Settings& settings_;
     std::array<std::uint64_t, kDispositions.size()> dispositions_{};
+    std::array<std::uint64_t, kEndCauses> causes_{};
     Millis second_ = -1e18;
     int lines_ = 0;
     std::uint64_t not_logged_ = 0;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -236,6 +236,7 @@
                 {"moved", c.moved},
                 {"attempts", c.attempts},
                 {"dispositions", dispositions},
+                {"end_causes", counts(kEndCauseNames, relay_.access().causes())},
                 {"violations", counts(decide::kRules, relay_.audit().breaches())},
                 {"send_denials", counts(decide::kSendDenials, c.send_denials)},
                 {"close_denials", counts(decide::kCloseDenials, t.close_denials)},
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -159,13 +159,14 @@
                           [&](const Refuse& a) {
                               if (Request* r = find(a.request)) {
                                   if (!r->closed) ++counts_.refused;
-                                  final(*r, 503, named_.settings.retry_after ? a.pause : 0, "refused");
+                                  final(*r, 503, named_.settings.retry_after ? a.pause : 0, "refused",
+                                        a.cause);
                               }
                           },
                           [&](const Fail& a) {
                               if (Request* r = find(a.request)) {
                                   if (!r->closed) ++counts_.failed;
-                                  final(*r, 502, 0, "failed; it may have run");
+                                  final(*r, 502, 0, "failed; it may have run", a.cause);
                               }
                           },
                           [&](const MoveStream& a) {
@@ -289,17 +290,19 @@
 }
 
 // `disposition`: nothing for a whole answer, whose times say how it fared.
-void Relay::log_request(const Request& r, std::optional<Disposition> disposition) {
+void Relay::log_request(const Request& r, std::optional<Disposition> disposition,
+                        std::optional<EndCause> cause) {
     RequestRecord p;
     p.txn = r.in.txn, p.cls = r.in.arrival.cls, p.prompt_tokens = r.in.arrival.prompt_tokens;
     p.tokens = r.tokens;
+    p.cause = cause;
     p.first = r.begun < 0 ? -1 : r.begun - r.arrived;
     p.ended = ports_.now() - r.arrived;
     for (const auto& t : r.tries) {
         p.attempts.push_back({{}, t.read, t.out, t.result, t.sent - r.arrived, t.ended - r.arrived});
     }
     const Disposition f = disposition ? *disposition : access_.served(p);
-    if (!access_.count(ports_.now(), f)) return;
+    if (!access_.count(ports_.now(), f, cause)) return;
     for (std::size_t i = 0; i < p.attempts.size(); ++i) {
         const Host* host = hosts_.find(r.tries[i].server);
         p.attempts[i].server = host ? host->name : "gone";
@@ -307,12 +310,14 @@
     ports_.log("info", "request", access_.line(p, f));
 }
 
-void Relay::final(Request& r, int status, Millis pause, const char* why) {
+void Relay::final(Request& r, int status, Millis pause, const char* why, EndCause cause) {
     if (r.closed) return;
-    log_request(r, begun(r)          ? Disposition::broken
-                   : status != 503   ? Disposition::failed
-                   : r.tries.empty() ? Disposition::refused_unsent
-                                     : Disposition::refused);
+    log_request(r,
+                begun(r)          ? Disposition::broken
+                : status != 503   ? Disposition::failed
+                : r.tries.empty() ? Disposition::refused_unsent
+                                  : Disposition::refused,
+                cause);
     Client* client = r.client;
     r.client = nullptr;
     close(r);
--- a/src/platform/relay.h
+++ b/src/platform/relay.h
@@ -123,7 +123,7 @@
     void stop(Try& t, Result result, const char* why);
     void hold(const HoldPlace& a);
     void drop(Request& r);
-    void final(Request& r, int status, Millis pause, const char* why);
+    void final(Request& r, int status, Millis pause, const char* why, EndCause cause);
     void cut(Request& r);
     void end_stream(Request& r, const char* why);
     void move(Request& r, const char* why);
@@ -133,7 +133,8 @@
     void client_left(Request& r);
     void close(Request& r);
     void on_breach(decide::Rule rule, std::uint64_t handle, const std::string& what);
-    void log_request(const Request& r, std::optional<Disposition> disposition);
+    void log_request(const Request& r, std::optional<Disposition> disposition,
+                     std::optional<EndCause> cause = std::nullopt);
     void due(const Driver::Alarm& a);
     void on_router_idle();
     void revisit_when_idle(std::uint64_t handle) { to_revisit_.push_back(handle); }
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -309,6 +309,47 @@
     EXPECT_EQ(bench->all<Refuse>().size(), 1u);
 }
 
+// Guards against a log that cannot say why a request was refused or failed: each cause in one case.
+TEST_F(Guards, AFinalAnswerTellsItsCause) {
+    const auto cause = [this] {
+        const auto refused = bench->all<Refuse>();
+        const auto failed = bench->all<Fail>();
+        EXPECT_EQ(refused.size() + failed.size(), 1u);
+        return refused.empty() ? failed.at(0).cause : refused.at(0).cause;
+    };
+    start(plain_settings(), {});
+    bench->feed(10, arrival("a", 10));
+    EXPECT_EQ(cause(), EndCause::no_writer);
+
+    start(plain_settings(), {writer(11)});
+    bench->feed(10, arrival("a", 10));
+    EXPECT_EQ(cause(), EndCause::no_server) << "no reader";
+
+    start(plain_settings(), {reader(1), writer(11)});
+    read_at("a", 10);
+    bench->run_to(5010);
+    EXPECT_EQ(cause(), EndCause::deadline);
+
+    start(plain_settings(), {reader(1), writer(11)});
+    read_at("a", 10);
+    bench->feed(20, Shutdown{});
+    EXPECT_EQ(cause(), EndCause::shutdown);
+
+    Settings once = plain_settings();
+    once.classes[0].effect = Effect::once;
+    start(once, {reader(1), writer(11)});
+    bench->feed(20, outcome("a", 0, read_at("a", 10), Result::read_done));
+    bench->feed(30, outcome("a", 1, 11, Result::reset));
+    EXPECT_EQ(cause(), EndCause::may_have_run);
+
+    Settings two = plain_settings();
+    two.max_attempts = 2;
+    start(two, {reader(1), writer(11)});
+    bench->feed(20, outcome("a", 0, read_at("a", 10), Result::read_done));
+    bench->feed(30, outcome("a", 1, 11, Result::full));
+    EXPECT_EQ(cause(), EndCause::attempts_used);
+}
+
 TEST_F(Guards, AFullHouseEndsInOneAnswerWithNothingHeld) {
     start(plain_settings(), {reader(1), writer(11)});
     const ServerId r = read_at("a", 10);
@@ -556,6 +597,7 @@
     ASSERT_EQ(read_at("late", 30), 1u);
     bench->feed(1100, outcome("late", 0, 1, Result::read_done));
     EXPECT_EQ(bench->all<Refuse>().size(), 1u);
+    EXPECT_EQ(bench->all<Refuse>().at(0).cause, EndCause::late_write);
     EXPECT_EQ(bench->all<DropState>().size(), 1u);
 }
 
--- a/tests/program/access_log_test.cpp
+++ b/tests/program/access_log_test.cpp
@@ -40,17 +40,19 @@
     const Settings s = chat();
     AccessLog log(s);
     int told = 0;
-    for (int i = 0; i < 1000; ++i) told += log.count(i, Disposition::refused);
+    for (int i = 0; i < 1000; ++i) told += log.count(i, Disposition::refused, EndCause::load);
     EXPECT_EQ(told, AccessLog::kLinesPerSecond);
     EXPECT_EQ(log.not_logged(), 1000u - AccessLog::kLinesPerSecond);
     EXPECT_TRUE(log.count(1001, Disposition::refused));
     EXPECT_FALSE(log.count(5000, Disposition::in_time)) << "what ended well is only counted";
     EXPECT_EQ(log.dispositions()[static_cast<std::size_t>(Disposition::refused)], 1001u);
+    EXPECT_EQ(log.causes()[static_cast<std::size_t>(EndCause::load)], 1000u);
     RequestRecord p;
     p.txn = "t1", p.ended = 900;
+    p.cause = EndCause::retry_budget;
     for (int i = 0; i < 500; ++i) p.attempts.push_back({"w1", false, false, Result::unreachable, 1, 251});
     const std::string line = log.line(p, Disposition::refused);
-    EXPECT_EQ(line.rfind("t1 refused class 0", 0), 0u) << line;
+    EXPECT_EQ(line.rfind("t1 refused cause retry_budget class 0", 0), 0u) << line;
     EXPECT_NE(line.find("write w1 1 +250 unreachable"), std::string::npos) << line;
     EXPECT_LT(line.size(), 400u);
 }
