Soak: a release counts at a server that hangs, not at one whose machine is cut off

Traced: all ten servers hung at once, each had got the DELETE within 0.2 s, and the stand-in dropped what came while it hung.

--- a/tests/soak/servers.mjs
+++ b/tests/soak/servers.mjs
@@ -119,6 +119,8 @@
       const release = { txn: rooms[1], server: server.name, at: now, method: request.method, silent: Boolean(server.mode.silent) };
       world.records.releases.push(release);
       world.moment('release-seen', null);
+      // A server that hangs runs: what has reached it counts. One whose machine is cut off has not been reached.
+      if (request.method === 'DELETE' && server.mode.silent !== 'cut') world.release(rooms[1], now);
       return this.unlessSilent(() => {
         if (request.method === 'DELETE') world.release(rooms[1], world.now());
         this.write('HTTP/1.1 204 No Content\r\n\r\n');
