Tests that fail: an empty line before a request; an address the process before still holds

Two finds by reading the paths of restart and of resting connections. An empty line behind a body (RFC 9112, 2.2) made a resting connection one with a request under way: answered 408 after 2 s, over which the next request may cross. EADDRINUSE at the start ends a gateway with exit code 4, though the one before may hold the address up to its kill.

--- a/tests/life/faults.test.mjs
+++ b/tests/life/faults.test.mjs
@@ -7,7 +7,7 @@
 import path from 'node:path';
 import { after, before, test } from 'node:test';
 import { Faults } from '../soak/faults.mjs';
-import { Discovery, Engine, Gateway, sleep, until } from './platform.mjs';
+import { Discovery, Engine, Gateway, listen, sleep, until } from './platform.mjs';
 
 const library = process.env.FAULTS_LIBRARY;
 let reader, writer, discovery;
@@ -71,6 +71,26 @@
   }
 });
 
+test('an address that the process before still holds is tried again until it is free, but not for ever', async () => {
+  for (const frees of [true, false]) {
+    const holder = net.createServer();
+    const port = await listen(holder);
+    const gateway = await new Gateway().start(discovery.port, [reader.host(), writer.host()], { ready: false, port });
+    await sleep(800);
+    assert.match(gateway.err, /listen_failed/);
+    if (frees) {
+      holder.close();
+      await until('ready', () => /"ready"/.test(gateway.err), 1500);
+      assert.equal((await gateway.ask('held')).status, 200);
+      await gateway.end();
+    } else {
+      assert.deepEqual(await gateway.ended, { code: 4, signal: null }, gateway.err);
+      assert.match(gateway.err, /GW_LISTEN: /);
+      holder.close();
+    }
+  }
+});
+
 test('SIGHUP with a file that is half written or gone is carried out once the file is whole', async () => {
   const gateway = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
   for (const how of ['half', 'gone', 'unchanged for a while']) {
--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -72,12 +72,12 @@
 
 export class Gateway {
   err = '';
-  // `env`: more of the environment. `ready`: whether to wait until it is. `guarantees`: more of the settings.
-  async start(discovery, known = [], { env = {}, ready = true, guarantees = {} } = {}) {
+  // `env`: more of the environment. `ready`: whether to wait until it is. `guarantees`: more of the settings. `port`: to listen on.
+  async start(discovery, known = [], { env = {}, ready = true, guarantees = {}, port } = {}) {
     this.guarantees = guarantees;
     this.dir = mkdtempSync(path.join(tmpdir(), 'gorsenotch-node-'));
     this.file = path.join(this.dir, 'config.json');
-    this.port = await freePort();
+    this.port = port ?? await freePort();
     this.known = known;
     this.write(discovery);
     this.child = spawn(program, ['node'], { stdio: ['ignore', 'ignore', 'pipe'], env: { ...process.env, ...env, GW_NAME: 'n0',
--- a/tests/program/clients_test.cpp
+++ b/tests/program/clients_test.cpp
@@ -200,6 +200,30 @@
     EXPECT_FALSE(peer.reset);
 }
 
+struct ShortPatienceTest : ClientsTest {
+    void SetUp() override {
+        Clients::Config c;
+        c.patience = 150;
+        start(c);
+    }
+};
+
+// Guards against an empty line taken for half a request: some clients send one behind a body (RFC 9112, 2.2),
+// and would be answered 408 on a connection that rests, in which their next request may cross.
+TEST_F(ShortPatienceTest, EmptyLinesBeforeARequestAreNoRequest) {
+    const auto peer = rested("t1");
+    peer->send("\r\n");
+    run(400);
+    peer->look();
+    EXPECT_EQ(peer->text, "");
+    EXPECT_FALSE(peer->ended);
+    peer->send("\r\n" + post("t2"));
+    until([&] { return sent("t2") > 0; });
+    serve();
+    until([&] { return peer->look(), peer->text.find("0\r\n\r\n") != std::string::npos; });
+    EXPECT_EQ(peer->text.rfind("HTTP/1.1 200", 0), 0u) << peer->text;
+}
+
 struct FewPlacesTest : ClientsTest {
     void SetUp() override {
         Clients::Config c;
