--- a/src/net/errors.cpp
+++ b/src/net/errors.cpp
@@ -23,6 +23,7 @@
 
 ErrorClass classify_listen_error(int code) {
     if (code == 0) return ErrorClass::none;
+    if (code == UV_EADDRINUSE) return ErrorClass::address_held;
     return short_of_resources(code) ? ErrorClass::host_resources : ErrorClass::other;
 }
 
--- a/src/net/errors.h
+++ b/src/net/errors.h
@@ -9,6 +9,7 @@
     retry_later,     // nothing is there yet
     host_resources,  // this host is short of descriptors, memory, ports or routes: try again soon, blame no
                      // peer
+    address_held,    // another process listens there, perhaps the one before, which has yet to end
     peer,            // the peer or the way to it: refused, unreachable, no answer
     other,           // a fault of the caller or of the configuration
 };
--- a/src/platform/clients.cpp
+++ b/src/platform/clients.cpp
@@ -207,10 +207,12 @@
 // What is left when a request is open waits for its answer.
 void Clients::read(Conn& c, std::string_view bytes) {
     while (!c.gone && c.state == Conn::State::reading && !bytes.empty()) {
-        if (c.began <= 0) c.began = std::max(1e-3, net::now() - c.stream->age());
         bytes.remove_prefix(c.parser.feed(bytes));
         if (c.gone) return;
         if (c.state == Conn::State::ending) return;
+        // Empty lines before a request are no part of it (RFC 9112, 2.2).
+        const bool request = c.parser.begun() || c.parser.complete() || c.parser.fault() != http::Fault::none;
+        if (c.began <= 0 && request) c.began = std::max(1e-3, net::now() - c.stream->age());
         if (c.parser.fault() != http::Fault::none) {
             ++tally_.bad;
             const bool body = c.parser.fault() == http::Fault::body_too_large;
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -18,6 +18,9 @@
 constexpr Millis kFirstList = 300;    // a process that starts waits so long for the list before it listens
 constexpr Millis kState = 5000;       // between two lines of state in the log
 constexpr Millis kListenRetry = 50;   // until the listener is tried again
+// So long a start waits for an address that another process holds: one that stops is killed 3.7 s after it
+// was told to, at the latest.
+constexpr Millis kAddressHeld = 5000;
 // A configuration that cannot be taken is read again: often at first, as discovery's new address counts as
 // told 4 s after the signal, then seldom, until it is given up.
 constexpr Millis kReloadRetry = 50, kReloadSoon = 4000, kReloadLateRetry = 1000, kReloadGivenUp = 60000;
@@ -128,8 +131,12 @@
     open_ = true;
     opener_.stop();
     const int code = clients_.listen();
-    if (net::classify_listen_error(code) == net::ErrorClass::host_resources) {
-        // Guards against a process that ends for a want of this host's that may be over in a moment.
+    const net::ErrorClass what = net::classify_listen_error(code);
+    const bool held =
+        what == net::ErrorClass::address_held && net::now() - started_ < kFirstList + kAddressHeld;
+    if (what == net::ErrorClass::host_resources || held) {
+        // Guards against a process that ends for a want of this host's that may be over in a moment, or for
+        // the one before it. May do harm by telling of a wrong address 5 s late.
         open_ = false;
         if (!std::exchange(listen_failed_, true))
             log("warn", "listen_failed", net::text(code) + "; tried again");
