--- a/src/numeric/estimators.h
+++ b/src/numeric/estimators.h
@@ -31,6 +31,8 @@
     CompletionTime(double prior, double weight) : prior_(prior), weight_(weight) {}
     double prior() const { return prior_; }
     double value() const { return (spent_ + weight_ * slow()) / (completed_ + weight_); }
+    // How many were completed of late, decaying.
+    double completed() const { return completed_; }
     void add_time(double time) {
         spent_ += time;
         slow_spent_ += time;
--- a/tests/hang_test.cpp
+++ b/tests/hang_test.cpp
@@ -38,7 +38,7 @@
     struct Out {
         int attempt = -1;
         ServerId server = 0;
-        bool over = true;
+        bool over = true, streams = false;
     };
     static constexpr Millis kRead = 20, kFirstToken = 60, kStream = 300;
 
@@ -56,18 +56,22 @@
         const std::vector<Action> actions = std::exchange(bench_.actions, {});
         for (const Action& action : actions) {
             if (const auto* a = std::get_if<Attempt>(&action)) start(now, *a);
-            if (const auto* s = std::get_if<StopAttempt>(&action)) end(now, s->request, Result::cancelled);
+            if (const auto* s = std::get_if<StopAttempt>(&action)) {
+                if (!out_[s->request].streams) end(now, s->request, Result::cancelled);
+            }
+            if (const auto* m = std::get_if<MoveStream>(&action))
+                end(now, m->request, Result::cancelled, true);
             if (const auto* r = std::get_if<Refuse>(&action)) shed += r->cause == EndCause::load;
         }
     }
     void start(Millis now, const Attempt& a) {
         Out& out = out_[a.request];
-        out = {out.attempt + 1, a.server, false};
+        out = {out.attempt + 1, a.server, false, false};
         const int n = out.attempt;
         const auto still = [this, id = a.request, n] { return !out_[id].over && out_[id].attempt == n; };
         if (a.limit > 0) {
             later(now + a.limit, [this, id = a.request, still] {
-                if (still()) end(now_, id, Result::late);
+                if (still() && !out_[id].streams) end(now_, id, Result::late);
             });
         }
         if (hangs(a.server, now)) return;
@@ -77,6 +81,7 @@
                   if (!still()) return;
                   if (reads) return end(now_, id, Result::read_done);
                   ++begun;
+                  out_[id].streams = true;
                   feed(now_, FirstToken{id, n, server, kFirstToken});
                   later(now_ + kStream, [this, id, still] {
                       if (still()) end(now_, id, Result::served, true);
