Serve: a drain answers what lies unread; failing accepts are logged once a second

The listener's queue is taken before it is closed, an idle connection with something unread is read first; both get 529 and a close.

--- a/src/gateway/server.cpp
+++ b/src/gateway/server.cpp
@@ -46,8 +46,9 @@
         busy_ = true;
         reply(overloaded());
     }
+    // Guards against a request that came before the drain and is lost with a reset: it is read and refused.
     void shut_idle() {
-        if (idle()) close();
+        if (idle() && pending_.empty() && !stream_->unread()) close();
     }
     Connections::iterator self;
 
@@ -302,10 +303,20 @@
 int Server::listen() {
     listener_ = std::make_unique<net::Listener>(loop_);
     listener_->on_stream = [this](std::unique_ptr<net::Stream> s) { accept(std::move(s)); };
-    listener_->on_error = [this](int e) { ports_.log("warn", "accept", {{"error", net::text(e)}}); };
+    listener_->on_error = [this](int e) { accept_failed(e); };
     return listener_->listen(p_.listen);
 }
 
+// At most a line a second: accepting is tried again a hundred times a second while descriptors lack.
+void Server::accept_failed(int error) {
+    constexpr Millis kBetweenLines = 1000;
+    ++accept_failures_;
+    const Millis now = net::now();
+    if (now - accept_told_ < kBetweenLines) return;
+    accept_told_ = now;
+    ports_.log("warn", "accept", {{"error", net::text(error)}, {"failures", accept_failures_}});
+}
+
 int Server::port() const { return listener_ ? listener_->port() : 0; }
 
 void Server::accept(std::unique_ptr<net::Stream> stream) {
@@ -339,6 +350,8 @@
 
 void Server::drain() {
     draining_ = true;
+    // What waits to be accepted is answered too; it would be reset with the listener.
+    if (listener_) listener_->take_pending();
     listener_.reset();
     std::vector<Connection*> now;
     for (auto& c : all_) now.push_back(c.get());
--- a/src/gateway/server.h
+++ b/src/gateway/server.h
@@ -29,6 +29,7 @@
     class Connection;
     using Connections = std::list<std::unique_ptr<Connection>>;
     void accept(std::unique_ptr<net::Stream> stream);
+    void accept_failed(int error);
     void remove(Connection& c);
     std::string next_id();
     void flush();
@@ -43,6 +44,8 @@
     std::size_t most_waiting_ = 0;
     std::size_t turned_away_ = 0;  // of all_, those beyond it
     bool draining_ = false;
+    std::uint64_t accept_failures_ = 0;  // since the start
+    Millis accept_told_ = -1e18;         // when the log last told of them
     std::unique_ptr<net::Listener> listener_;
     Connections all_, dead_;
     std::vector<Connection*> unsent_;  // have written in this turn
