Watch: a late call stays beside the tries, which follow within a drain's grace

A successor that has not answered within 150 ms (300 before) becomes the late call, up to 2 s, and another is tried beside it: the next call after a return is at most 225 ms away, and a discovery that takes 1.5 s for each answer is heard. New, for harm: a list whose pieces come further apart than two tries is taken.

--- a/src/platform/watch.cpp
+++ b/src/platform/watch.cpp
@@ -23,7 +23,7 @@
                }),
       retry_(loop,
              [this] {
-                 if (successor_) return fault(*successor_, "no answer in time");
+                 if (successor_) return successor_overdue();
                  begin();
              }),
       cleanup_(loop, [this] { dead_.clear(); }) {}
@@ -33,9 +33,21 @@
     address_ = address;
     told_ = false;
     drop(successor_);
+    drop(late_);
     begin();
 }
 
+// Guards against a discovery that is slower than the time between two tries and would never be heard. May do
+// harm by a call more at an agent that is crowded.
+void Watch::successor_overdue() {
+    const bool spent = late_ && net::now() - late_->began >= config_.slowest;
+    if (spent) drop(late_);
+    if (late_) return fault(*successor_, "no answer in time");
+    tell("no answer in time");
+    late_ = std::move(successor_);
+    begin_soon();
+}
+
 void Watch::begin() {
     successor_ = std::make_unique<Call>();
     Call& c = *successor_;
@@ -98,12 +110,13 @@
     from_ = from;
     answered_ = call.address;
     told_ = false;
-    if (&call == successor_.get()) {
+    if (&call != call_.get()) {
         drop(call_);
-        call_ = std::move(successor_);
-        retry_.stop();
-    } else if (call.address == address_ && successor_) {
-        drop(successor_);  // the old one speaks again
+        call_ = std::move(&call == late_.get() ? late_ : successor_);
+    }
+    if (call.address == address_) {  // the others are needed no more
+        drop(successor_);
+        drop(late_);
         retry_.stop();
     }
     if (!call.parser->keep_alive) return fault(call, "");
@@ -118,6 +131,7 @@
         drop(successor_);
         return begin_soon();
     }
+    if (&call == late_.get()) return drop(late_);
     drop(call_);
     overdue_.stop();
     if (!successor_) begin_soon();
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -1,14 +1,16 @@
 // Keeps a watch on discovery alive: the whole list first, then calls that wait, one after another.
 //
-// Two calls at most: the one in force, and a successor that is tried while that one is overdue, broken or at
-// an address that discovery has left. The successor takes over with its first good answer, and until then
-// what the old one still tells is taken: so no answer is missed for having been given up too soon.
+// Three calls at most: the one in force, a successor that is tried while that one is overdue, broken or at an
+// address that discovery has left, and a late one: a successor that has not answered yet, beside which others
+// are tried. Any of the two takes over with its first good answer, and until then what the old one still
+// tells is taken: so no answer is missed for having been given up too soon, however slow discovery is.
 //
 // Times: a silent watch is found after hold + slack, and the successor is tried every `dial` or `whole` from
 // then on: what it has missed is here well within the 6 s of the platform's rule, whatever else failed first.
 // A list that comes slowly has up to `slowest`, as long as some of it comes within each `whole`. The short
-// times serve the return of discovery after an outage, when what it has counts at once. Errors: none end it;
-// a row of faults is told once.
+// times serve the return of discovery after an outage, when what it has counts at once: whole and 1.5 pauses
+// are less than the least grace of a drain, as what was asked during the outage may never be answered.
+// Errors: none end it; a row of faults is told once.
 #pragma once
 
 #include <functional>
@@ -27,10 +29,10 @@
     struct Config {
         net::Millis hold = 2000;     // asked for, of a call that waits
         net::Millis slack = 500;     // after that it is overdue
-        net::Millis whole = 300;     // for the whole list to come, on a connection that is up
+        net::Millis whole = 150;     // for the whole list to come, before another call is tried beside it
         net::Millis dial = 150;      // for a connection to come up
         net::Millis pause = 50;      // between two tries after a fault, half to one and a half of it
-        net::Millis slowest = 2000;  // for the whole list, while it keeps coming
+        net::Millis slowest = 2000;  // for the whole list, while it keeps coming or nothing of it has come
     };
     // Takes an answer's text; the version to wait beyond, or nothing where it was refused. `moved`: it is the
     // first from another address than the answers before it, whose versions say nothing of this one's.
@@ -51,6 +53,7 @@
     };
     void begin();       // a successor, now
     void begin_soon();  // after a pause
+    void successor_overdue();
     void ask(Call& call, bool whole);
     void data(Call& call, std::string_view bytes);
     void progressed(Call& call);
@@ -63,7 +66,7 @@
     const Config config_;
     std::mt19937_64 random_;
     std::string address_, answered_;  // where to ask; where the last good answer came from
-    std::unique_ptr<Call> call_, successor_;
+    std::unique_ptr<Call> call_, successor_, late_;
     std::vector<std::unique_ptr<Call>> dead_;  // closed in a callback of their own; freed by the next turn
     net::Timer overdue_, retry_, cleanup_;
     std::optional<std::uint64_t> from_;
