Test that fails: a stream is cut over events that came while the process stood still

Cause: SIGCONT interrupts epoll_wait (signal(7)); libuv returns from its poll without having looked where the wait's time is over, and Loop's check handle takes every return for a look at the sockets, by which time-outs may be judged (decide/lateness).

Soak: discovery that takes 400 or 900 ms for each answer, in a third of the runs.

--- a/tests/life/faults.test.mjs
+++ b/tests/life/faults.test.mjs
@@ -114,6 +114,35 @@
   await gateway.end();
 });
 
+// A wait for sockets that is interrupted has not looked at them: signal(7) names SIGCONT after a stop. The stream's silence is
+// over the 4 s at which it is given up, but most of it is the process's own, and the rest lies in the socket.
+test('a stream whose events came while the process stood still is passed on whole', async () => {
+  const gateway = await new Gateway().start(discovery.port, [reader.host(), writer.host()]);
+  let stream = null;
+  writer.behave = (r, res) => {
+    if (r.method !== 'POST') return false;
+    res.writeHead(200, { 'content-type': 'text/event-stream' });
+    res.write('data: {"a":"1"}\n\n');
+    stream = res;
+    return true;
+  };
+  const asked = gateway.ask('stood-still');
+  await until('the stream', () => stream !== null);
+  await sleep(100);
+  gateway.child.kill('SIGSTOP');
+  await sleep(2000);
+  stream.write('data: {"a":"2"}\n\n');
+  await sleep(2300);
+  gateway.child.kill('SIGCONT');
+  await sleep(300);
+  stream.end('data: [DONE]\n\n');
+  const answer = await asked;
+  writer.behave = () => false;
+  assert.ok(answer.whole, JSON.stringify(answer));
+  assert.match(answer.text, /"1"[^]*"2"[^]*DONE/);
+  await gateway.end();
+});
+
 test('a poll that is interrupted is not taken for a client that is still there', async () => {
   const faults = newFaults(), gateway = await startUnder(faults);
   faults.set('poll', 'EINTR', 0.9);
--- a/tests/soak/discovery.mjs
+++ b/tests/soak/discovery.mjs
@@ -52,13 +52,13 @@
     this.seq = this.discovery.seq;
     if (this.gateway.agent !== this) return;  // nobody listens here
     const now = this.world.now();
-    const broken = this.mode !== '' || [...this.open].some((c) => c.silentSince >= 0);
+    const broken = this.mode !== '' || this.world.schedule.habits.discoveryDelay > 0 || [...this.open].some((c) => c.silentSince >= 0);
     this.told(Math.max(broken ? now + SILENT_COUNTS_AFTER : now, this.reloadCountsAt));
     for (const connection of this.open) connection.changed();
   }
   told(at) { this.deadlines.push({ seq: this.seq, at }); }
   reloaded() {
-    this.reloadCountsAt = this.world.now() + (this.mode === '' ? RELOAD_COUNTS_AFTER : SILENT_COUNTS_AFTER);
+    this.reloadCountsAt = this.world.now() + (this.mode === '' && this.world.schedule.habits.discoveryDelay === 0 ? RELOAD_COUNTS_AFTER : SILENT_COUNTS_AFTER);
     this.told(this.reloadCountsAt);
   }
   toldBy(seq) {
@@ -97,11 +97,17 @@
     this.waiting = { from: Number(from) - this.agent.offset };
     const hold = Number(url.searchParams.get('hold_ms'));
     clearTimeout(this.timer);
-    this.timer = setTimeout(() => { if (this.waiting) this.answer(); }, hold);
+    this.timer = setTimeout(() => { if (this.waiting && !this.waiting.answered) this.answer(); }, hold);
     if (this.agent.seq > this.waiting.from) this.answer();
   }
-  changed() { if (this.waiting && this.agent.seq > this.waiting.from) this.answer(); }
+  changed() { if (this.waiting && !this.waiting.answered && this.agent.seq > this.waiting.from) this.answer(); }
   answer() {
+    const { discoveryDelay } = this.world.schedule.habits;
+    if (discoveryDelay === 0) return this.answerNow();
+    this.waiting &&= { ...this.waiting, answered: true };
+    setTimeout(() => this.answerNow(), discoveryDelay);
+  }
+  answerNow() {
     const { agent } = this;
     const { discovery } = agent;
     if (discovery.down || this.silentSince >= 0 || this.socket.destroyed) return;
--- a/tests/soak/schedule.mjs
+++ b/tests/soak/schedule.mjs
@@ -44,8 +44,9 @@
     group: shape.pick(['zone', 'zone', 'cell', 'all']),
   };
   // How the others speak: messages in all forms that the protocol allows; servers that drop requests with little time left
-  // without a word; discovery that tells changes rather than whole lists.
-  const habits = { forms: shape.chance(0.6), dropShort: shape.chance(0.5), changes: shape.chance(0.7), retry: shape.chance(0.4) };
+  // without a word; discovery that tells changes rather than whole lists, or takes that many ms for each answer.
+  const habits = { forms: shape.chance(0.6), dropShort: shape.chance(0.5), changes: shape.chance(0.7), retry: shape.chance(0.4),
+    discoveryDelay: shape.pick([0, 0, 0, 0, 400, 900]) };
   const load = { readers: shape.integer(3, 6), writers: shape.integer(3, 6), perGateway: shape.between(5, 9),
     leave: 0.03, keep: 0.8 };
   // In some runs the troubles meet at a few processes, and follow faster.
