An interrupted wait is no look at the sockets

Where a wait has lasted to its end the loop asks epoll once more, without waiting, whether something is there; if so its sockets have not been looked at, and no time-out is judged by that turn.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/epoll.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -40,14 +41,16 @@
                 loop->on_slow_turn(length, loop->parts_);
         }
         loop->parts_.clear();
-        if (!loop->on_sleep) return;
         const int wait = uv_backend_timeout(&loop->loop_);
+        loop->wait_until_ = wait <= 0 ? 1e300 : static_cast<Millis>(uv_now(&loop->loop_)) + wait;
+        if (!loop->on_sleep) return;
         // libuv also says 0 where sockets are still to be registered, whatever it will wait: that tells
         // nothing.
         loop->on_sleep(wait <= 0 ? 1e300 : static_cast<Millis>(uv_now(&loop->loop_)) + wait);
     });
     uv_check_start(&check_, [](uv_check_t* c) {
         auto* loop = static_cast<Loop*>(c->data);
+        if (!loop->has_looked()) return;
         // The loop's time is that of the system call's return: nothing here moves it before the next turn.
         loop->looked_ = static_cast<Millis>(uv_now(&loop->loop_));
         if (loop->on_look) loop->on_look();
@@ -56,6 +59,16 @@
     uv_unref(reinterpret_cast<uv_handle_t*>(&check_));
 }
 
+// Guards against time-outs that are judged over what lies unread in a socket: a wait that a signal interrupts
+// (SIGCONT after a stop does) ends without a look where its time is over. One that ends sooner ended for what
+// it found. Costs a system call in turns that end for a timer; where it fails the next turn's look counts.
+bool Loop::has_looked() {
+    if (static_cast<Millis>(uv_now(&loop_)) < wait_until_) return true;
+    epoll_event found{};
+    // What is found stays found: libuv's descriptors are level-triggered.
+    return ::epoll_wait(uv_backend_fd(&loop_), &found, 1, 0) == 0;
+}
+
 Loop::~Loop() {
     // Guards against owners that outlive their loop: what they close later would be memory of a loop that is
     // gone. Also catches a handle that nobody owns any more. Does harm only to a program that is wrong.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -53,7 +53,9 @@
     friend class Doing;
     uv_prepare_t prepare_;
     uv_check_t check_;
+    bool has_looked();  // since the wait began that has just ended
     Millis looked_ = 0;
+    Millis wait_until_ = 0;  // when the wait under way is over, where it is for a time
     Parts parts_;
     bool doing_ = false;
 };
