--- a/tests/soak/discovery.mjs
+++ b/tests/soak/discovery.mjs
@@ -12,6 +12,7 @@
     this.world = world;
     this.seq = 1;
     this.down = false;
+    this.outages = 0;
     this.agents = [];
     this.changes = [];  // {seq, at, server, health}
   }
@@ -24,7 +25,11 @@
     server.changedAt = this.seq;
     for (const agent of this.agents) agent.changed();
   }
+  // Outages may overlap: it is back when the last of them is over.
   setDown(down) {
+    this.outages += down ? 1 : -1;
+    down = this.outages > 0;
+    if (down === this.down) return;
     this.down = down;
     if (!down) for (const agent of this.agents) agent.changed();
   }
