--- a/src/day/day.cpp
+++ b/src/day/day.cpp
@@ -58,15 +58,15 @@
 
 // Addresses that nobody else uses, so that their ports are still free at a restart.
 std::vector<std::string> Day::free_addresses(const std::string& host, std::size_t count) {
-    std::vector<std::string> addresses;
-    for (const int port : net::free_ports(loop_, host, count))
-        addresses.push_back(host + ":" + std::to_string(port));
-    if (addresses.empty() && error_.empty()) {
-        error_ = host + ": no port is free";
+    std::vector<int> ports = net::free_ports(loop_, host, count);
+    if (ports.empty()) {
+        if (error_.empty()) error_ = host + ": no port is free";
         system_ = true;
         end();
-        addresses.assign(count, host + ":0");
+        ports.assign(count, 0);
     }
+    std::vector<std::string> addresses;
+    for (const int port : ports) addresses.push_back(host + ":" + std::to_string(port));
     return addresses;
 }
 
