--- a/tests/program/net_test.cpp
+++ b/tests/program/net_test.cpp
@@ -1,6 +1,10 @@
 // The loop's ownership and its child processes.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <fstream>
@@ -44,6 +48,72 @@
     EXPECT_TRUE(loop.open_handles().empty());
 }
 
+// What happens first in a process that is stopped while it waits: its time-out, or the byte that came
+// meanwhile. `registers`: each of its waits begins with a socket to register, where libuv does not say how
+// long it will wait.
+char first_after_a_stop(bool registers) {
+    int told[2] = {-1, -1}, port[2] = {-1, -1};
+    EXPECT_EQ(::pipe(told), 0);
+    EXPECT_EQ(::pipe(port), 0);
+    const pid_t child = ::fork();
+    if (child == 0) {
+        Loop loop;
+        Listener listener(loop);
+        std::unique_ptr<Stream> stream;
+        const auto tell = [&](char what) {
+            if (::write(told[1], &what, 1) != 1) ::_exit(2);
+            ::_exit(0);
+        };
+        Timer overdue(loop, [&] { tell('t'); });
+        Timer busy(loop, [&] {
+            if (registers && stream) {
+                stream->read(false);
+                stream->read(true);
+            }
+            busy.after(20);
+        });
+        listener.on_stream = [&](std::unique_ptr<Stream> accepted) {
+            stream = std::move(accepted);
+            stream->on_data = [&](std::string_view) { tell('d'); };
+            stream->on_end = [](int) {};
+            stream->read(true);
+            overdue.after_look(400);
+            busy.after(20);
+        };
+        const int number = listener.listen("127.0.0.1:0") == 0 ? listener.port() : 0;
+        if (::write(port[1], &number, sizeof number) != sizeof number) ::_exit(2);
+        loop.run();
+        ::_exit(1);
+    }
+    int number = 0;
+    EXPECT_EQ(::read(port[0], &number, sizeof number), static_cast<ssize_t>(sizeof number));
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(number));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ(::connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    ::usleep(150000);
+    ::kill(child, SIGSTOP);
+    ::usleep(50000);
+    EXPECT_EQ(::send(fd, "x", 1, MSG_NOSIGNAL), 1);
+    ::usleep(400000);
+    ::kill(child, SIGCONT);
+    char what = '?';
+    EXPECT_EQ(::read(told[0], &what, 1), 1);
+    ::kill(child, SIGKILL);
+    ::waitpid(child, nullptr, 0);
+    for (const int one : {fd, told[0], told[1], port[0], port[1]}) ::close(one);
+    return what;
+}
+
+// Guards against time-outs that are judged over unread bytes once a stop of the process has interrupted its
+// wait: the wait has not looked at its sockets.
+TEST(Loop, WhatCameInAStopIsReadBeforeATimeOutIsJudged) {
+    EXPECT_EQ(first_after_a_stop(false), 'd');
+    EXPECT_EQ(first_after_a_stop(true), 'd');
+}
+
 // Guards against two processes, or two listeners of one, that are given the same port: a day whose engine got
 // one port for its calls and its control did not start (about one day of ten engines in 660).
 TEST(Ports, OfOneAddressAreAllDifferent) {
