Waits of unknown length are looked at as well where an interruption may have ended them

Any wait that has taken a millisecond may have been interrupted, where libuv does not say how long it is; epoll is asked then. Waits that take no time stay out, so a busy loop judges its time-outs.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -42,11 +42,11 @@
         }
         loop->parts_.clear();
         const int wait = uv_backend_timeout(&loop->loop_);
-        loop->wait_until_ = wait <= 0 ? 1e300 : static_cast<Millis>(uv_now(&loop->loop_)) + wait;
-        if (!loop->on_sleep) return;
+        const auto began = static_cast<Millis>(uv_now(&loop->loop_));
         // libuv also says 0 where sockets are still to be registered, whatever it will wait: that tells
-        // nothing.
-        loop->on_sleep(wait <= 0 ? 1e300 : static_cast<Millis>(uv_now(&loop->loop_)) + wait);
+        // nothing. One that takes no time is not interrupted.
+        loop->interrupted_from_ = wait < 0 ? 1e300 : began + std::max(wait, 1);
+        if (loop->on_sleep) loop->on_sleep(wait <= 0 ? 1e300 : began + wait);
     });
     uv_check_start(&check_, [](uv_check_t* c) {
         auto* loop = static_cast<Loop*>(c->data);
@@ -61,9 +61,9 @@
 
 // Guards against time-outs that are judged over what lies unread in a socket: a wait that a signal interrupts
 // (SIGCONT after a stop does) ends without a look where its time is over. One that ends sooner ended for what
-// it found. Costs a system call in turns that end for a timer; where it fails the next turn's look counts.
+// it found. Costs a system call in turns that end for a timer; may do harm by a time-out judged a turn later.
 bool Loop::has_looked() {
-    if (static_cast<Millis>(uv_now(&loop_)) < wait_until_) return true;
+    if (static_cast<Millis>(uv_now(&loop_)) < interrupted_from_) return true;
     epoll_event found{};
     // What is found stays found: libuv's descriptors are level-triggered.
     return ::epoll_wait(uv_backend_fd(&loop_), &found, 1, 0) == 0;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -55,7 +55,8 @@
     uv_check_t check_;
     bool has_looked();  // since the wait began that has just ended
     Millis looked_ = 0;
-    Millis wait_until_ = 0;  // when the wait under way is over, where it is for a time
+    // From then on the wait under way may end for an interruption, with nothing looked at.
+    Millis interrupted_from_ = 0;
     Parts parts_;
     bool doing_ = false;
 };
