What proves that an attempt never ran is said once; comments of watch, audit, upstream

Watch: its header told of lists that come slowly as before the late call. Constants of audit and upstream have their comments above them.

--- a/include/gorsenotch/logic.h
+++ b/include/gorsenotch/logic.h
@@ -110,6 +110,11 @@
 
 enum class Result { served, error, full, late, unreachable, reset, cancelled, not_sent, read_done };
 
+// It proves that the attempt never ran: it was turned away, or not one whole request reached the server.
+constexpr bool never_ran(Result result) {
+    return result == Result::full || result == Result::unreachable || result == Result::not_sent;
+}
+
 struct Outcome {  // how an attempt ended; exactly one for each attempt
     RequestId request;
     int attempt = 0;
--- a/src/decide/audit.cpp
+++ b/src/decide/audit.cpp
@@ -6,8 +6,8 @@
 
 namespace gorsenotch::decide {
 namespace {
-constexpr std::size_t kMostNotUp =
-    8192;  // servers remembered as not up, before those no longer listed are forgotten
+// Servers remembered as not up, before those no longer listed are forgotten.
+constexpr std::size_t kMostNotUp = 8192;
 constexpr Millis kNotUpForgotten = 60000;
 // A process may be held up for so long between its clock and a write; windows and deadlines allow for it.
 constexpr Millis kHeldUp = 150;
--- a/src/gateway/core.cpp
+++ b/src/gateway/core.cpp
@@ -337,9 +337,8 @@
     if (e.result == Result::read_done) {
         r->state_try = attempt;
         r->parameters = e.parameters;
-    } else if (t->read && (e.result == Result::unreachable || e.result == Result::not_sent ||
-                           e.result == Result::full)) {
-        std::erase(r->states, attempt);  // the read never ran
+    } else if (t->read && never_ran(e.result)) {
+        std::erase(r->states, attempt);
     }
     if (!t->read && e.result == Result::full && e.note == 1) {
         std::erase(r->states, r->state_try);
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -6,9 +6,9 @@
 
 namespace gorsenotch::gateway {
 namespace {
-constexpr Millis kDialPause =
-    10;  // until a connection is tried again that failed for want of this host's resources
-}
+// Until a connection is tried again that failed for want of this host's resources.
+constexpr Millis kDialPause = 10;
+}  // namespace
 
 struct Upstream::Link {
     std::unique_ptr<net::Stream> stream;
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -110,9 +110,7 @@
         if (!o.closed && r.stage == streaming && r.ended && !r.final) r.ended = false;
         leave(r);
         const bool wrote = !(server && server->role == Role::read);
-        const bool never_ran =
-            o.result == Result::full || o.result == Result::unreachable || o.result == Result::not_sent;
-        if (wrote && !never_ran && o.result != Result::read_done && !r.may_have_run) {
+        if (wrote && !never_ran(o.result) && o.result != Result::read_done && !r.may_have_run) {
             r.may_have_run = true;
             r.ran_at = o.server;
             r.ran_sent = r.handed;
--- a/src/platform/relay.cpp
+++ b/src/platform/relay.cpp
@@ -387,8 +387,7 @@
     t->out = false;
     --out_;
     ++counts_.results[static_cast<int>(e.result)];
-    audit_.ended(handle, attempt,
-                 e.result == Result::full || e.result == Result::unreachable || e.result == Result::not_sent);
+    audit_.ended(handle, attempt, never_ran(e.result));
     const Millis now = ports_.now();
     t->ended = now, t->result = e.result;
     if (Host* h = hosts_.find(t->server)) {
--- a/src/platform/watch.h
+++ b/src/platform/watch.h
@@ -2,12 +2,13 @@
 //
 // Three calls at most: the one in force, a successor that is tried while that one is overdue, broken or at an
 // address that discovery has left, and a late one: a successor that has not answered yet, beside which others
-// are tried. Any of the two takes over with its first good answer, and until then what the old one still
+// are tried. Either takes over with its first good answer, and until then what the old one still
 // tells is taken: so no answer is missed for having been given up too soon, however slow discovery is.
 //
 // Times: a silent watch is found after hold + slack, and the successor is tried every `dial` or `whole` from
 // then on: what it has missed is here well within the 6 s of the platform's rule, whatever else failed first.
-// A list that comes slowly has up to `slowest`, as long as some of it comes within each `whole`. The short
+// No other call is tried beside a list that comes, up to `slowest`, as long as some of it comes within each
+// `whole`; one that has begun late or stops for a while has as long, beside other tries. The short
 // times serve the return of discovery after an outage, when what it has counts at once: whole and 1.5 pauses
 // are less than the least grace of a drain, as what was asked during the outage may never be answered.
 // Errors: none end it; a row of faults is told once.
