Tests: one client that acts by system calls, one way to move a gateway's discovery

gateway_test.cpp had a client of its own beside that of clients_test.cpp: both use blocking_client.h, with the assertions they had (a reset found by an error of recv or of the socket). Three tests wrote a new configuration, signalled and waited: Gateway.moveTo.

--- a/tests/life/faults.test.mjs
+++ b/tests/life/faults.test.mjs
@@ -105,9 +105,7 @@
     assert.equal((await gateway.ask(`torn-${how.slice(0, 4)}`)).status, 503, 'its drain is kept');
     next.stop();
     const back = await new Discovery().start([reader.host(), writer.host()], 60);
-    gateway.write(back.port);
-    gateway.child.kill('SIGHUP');
-    await until('back', () => back.waiting.length === 1);
+    await gateway.moveTo(back);
     discovery.stop();
     discovery = back;
   }
--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -144,9 +144,7 @@
   gateway.child.kill('SIGHUP');
   await until('the refusal', () => /reload_refused/.test(gateway.err));
   const other = await new Discovery().start([reader.host(), writer.host()], 50);
-  gateway.write(other.port);
-  gateway.child.kill('SIGHUP');
-  await until('the other', () => other.waiting.length === 1);
+  await gateway.moveTo(other);
   discovery.stop();
   discovery = other;
   assert.ok((await gateway.ask('id-8')).whole);
@@ -238,9 +236,7 @@
   const own = await new Gateway().start(first.port);
   await until('the list', () => first.waiting.length === 1);
   const second = await new Discovery().start([reader.host(), writer.host('draining')], 3);
-  own.write(second.port);
-  own.child.kill('SIGHUP');
-  await until('the second', () => second.waiting.length === 1, 1000);
+  await own.moveTo(second, 1000);
   assert.equal(second.calls, 2, 'taken at the first answer');
   const before = writer.seen.filter((r) => r.method === 'POST').length;
   assert.equal((await own.ask('hup-1')).status, 503);
--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -101,6 +101,12 @@
         Tenants: [{ Name: 'acme', QuotaPerS: 1000 }], StepMs: 4 } }));
     renameSync(`${this.file}.new`, this.file);
   }
+  // A new configuration, carried out once the new discovery holds this gateway's watch.
+  async moveTo(discovery, ms) {
+    this.write(discovery.port);
+    this.child.kill('SIGHUP');
+    await until('the watch of the new discovery', () => discovery.waiting.length === 1, ms);
+  }
   // Resolves with status, text and whether the answer was whole.
   ask(txn, { headers = {}, agent } = {}) {
     return new Promise((done) => {
--- a/tests/program/clients_test.cpp
+++ b/tests/program/clients_test.cpp
@@ -3,65 +3,14 @@
 // time.
 #include "platform/clients.h"
 
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <netinet/in.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <vector>
 
+#include "blocking_client.h"
 #include "platform_world.h"
 
 namespace gorsenotch::test {
 namespace {
 
-// A client that acts by system calls, outside the loop.
-class Peer {
-public:
-    explicit Peer(int port) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(static_cast<std::uint16_t>(port));
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
-        ::fcntl(fd_, F_SETFL, O_NONBLOCK);
-    }
-    ~Peer() { close(); }
-    Peer(const Peer&) = delete;
-    Peer& operator=(const Peer&) = delete;
-    void send(const std::string& bytes) {
-        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
-    }
-    void close() {
-        if (fd_ >= 0) ::close(fd_);
-        fd_ = -1;
-    }
-    // Takes what has come: the text so far, and whether and how the connection ended.
-    void look() {
-        char buffer[4096];
-        for (;;) {
-            const ssize_t n = ::recv(fd_, buffer, sizeof buffer, 0);
-            if (n > 0) {
-                text.append(buffer, static_cast<std::size_t>(n));
-                continue;
-            }
-            ended |= n == 0;
-            int error = 0;  // a reset that comes after the FIN is told here alone
-            socklen_t size = sizeof error;
-            ::getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
-            reset |= (n < 0 && errno != EAGAIN) || error != 0;
-            return;
-        }
-    }
-    std::string text;
-    bool ended = false, reset = false;
-
-private:
-    int fd_;
-};
-
 std::string post(const std::string& txn, const std::string& body = "{}") {
     return "POST /v1/chat/completions HTTP/1.1\r\nx-txn: " + txn +
            "\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: 5000m\r\ncontent-length: " +
@@ -117,8 +66,8 @@
         }
     }
     // A connection on which one request has been answered.
-    std::unique_ptr<Peer> rested(const std::string& txn) {
-        auto peer = std::make_unique<Peer>(clients->port());
+    std::unique_ptr<BlockingClient> rested(const std::string& txn) {
+        auto peer = std::make_unique<BlockingClient>(clients->port());
         peer->send(post(txn));
         until([&] { return sent(txn) > 0; });
         serve();
@@ -130,7 +79,7 @@
 
 // A client that asks for the close waits for it: it would hold its place for as long as idle ones may.
 TEST_F(ClientsTest, AStreamWhoseClientAskedForTheCloseIsFollowedByAFin) {
-    Peer peer(clients->port());
+    BlockingClient peer(clients->port());
     peer.send(with(post("t1"), "x-lane", "connection: close\r\nx-lane"));
     until([&] { return sent("t1") > 0; });
     serve();
@@ -154,7 +103,7 @@
 
 TEST_F(ClientsTest, AConnectionThatLiesUnacceptedAsTheGatewayDepartsIsServed) {
     const int port = clients->port();
-    Peer peer(port);
+    BlockingClient peer(port);
     peer.send(post("t1"));
     clients->depart();
     until([&] { return sent("t1") > 0; });
@@ -181,7 +130,7 @@
 // Pipelined requests that the gateway has read behind an open one as it departs, and one that lies unread
 // then.
 TEST_F(ClientsTest, RequestsBehindAnOpenOneAreServedThoughTheGatewayDeparts) {
-    Peer peer(clients->port());
+    BlockingClient peer(clients->port());
     peer.send(post("t1") + post("t2"));
     until([&] { return sent("t1") > 0; });
     clients->depart();
@@ -234,10 +183,10 @@
 };
 
 TEST_F(FewPlacesTest, ARefusedConnectionGetsItsAnswerThoughItsRequestIsUnread) {
-    Peer one(clients->port()), two(clients->port());
+    BlockingClient one(clients->port()), two(clients->port());
     one.send(post("t1")), two.send(post("t2"));
     until([&] { return sent("t1") + sent("t2") == 2; });
-    Peer third(clients->port());
+    BlockingClient third(clients->port());
     third.send(post("t3"));
     until([&] { return third.look(), third.ended || third.reset; });
     EXPECT_NE(third.text.find("HTTP/1.1 503"), std::string::npos);
@@ -249,10 +198,10 @@
 }
 
 TEST_F(FewPlacesTest, TheOneThatMakesRoomIsNotOneWhoseRequestHasCome) {
-    Peer first(clients->port()), second(clients->port());
+    BlockingClient first(clients->port()), second(clients->port());
     until([&] { return clients->connections() == 2; });
     run(150);
-    Peer third(clients->port());
+    BlockingClient third(clients->port());
     third.send(post("t2"));
     first.send(post("t1"));  // on the one that has been silent for longer; read after the third is accepted
     until([&] { return sent("t1") + sent("t2") == 2; });
@@ -266,12 +215,12 @@
 }
 
 TEST_F(FewPlacesTest, ConnectionsThatEndAreBoundedUnderAFlood) {
-    Peer one(clients->port()), two(clients->port());
+    BlockingClient one(clients->port()), two(clients->port());
     one.send(post("t1")), two.send(post("t2"));
     until([&] { return sent("t1") + sent("t2") == 2; });
-    std::vector<std::unique_ptr<Peer>> flood;
+    std::vector<std::unique_ptr<BlockingClient>> flood;
     for (int i = 0; i < 60; ++i) {
-        flood.push_back(std::make_unique<Peer>(clients->port()));
+        flood.push_back(std::make_unique<BlockingClient>(clients->port()));
         run(1);
         EXPECT_LE(clients->connections(), 2 + Clients::kEndingMost);
     }
@@ -306,14 +255,14 @@
 }
 
 TEST_F(ShortIdleTest, ASilentNewConnectionEndsWithoutAnAnswerAndWithoutAReset) {
-    Peer peer(clients->port());
+    BlockingClient peer(clients->port());
     until([&] { return peer.look(), peer.ended || peer.reset; });
     EXPECT_FALSE(peer.reset);
     EXPECT_EQ(peer.text, "");
 }
 
 TEST_F(ClientsTest, WhoSendsTooMuchBehindAnOpenRequestIsEndedAndItsRequestCalledOff) {
-    Peer peer(clients->port());
+    BlockingClient peer(clients->port());
     peer.send(post("t1"));
     until([&] { return sent("t1") > 0; });
     const auto read = world.sent.back().attempt;
--- a/tests/program/gateway_test.cpp
+++ b/tests/program/gateway_test.cpp
@@ -1,11 +1,8 @@
 // A whole gateway on loopback sockets, in this process, against engines and clients scripted byte by byte.
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "blocking_client.h"
 #include "fakes.h"
 #include "gateway/serve.h"
 #include "log/log.h"
@@ -392,58 +389,25 @@
     EXPECT_EQ(streaming.count("event: message_stop"), 1u);
 }
 
-// A client that acts by system calls: what it sends lies in the kernel before the loop runs.
-class BlockingClient {
-public:
-    explicit BlockingClient(int port) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
-        sockaddr_in to{};
-        to.sin_family = AF_INET;
-        to.sin_port = htons(static_cast<std::uint16_t>(port));
-        to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(::connect(fd_, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
-    }
-    ~BlockingClient() { ::close(fd_); }
-    BlockingClient(const BlockingClient&) = delete;
-    BlockingClient& operator=(const BlockingClient&) = delete;
-    void send(const std::string& bytes) {
-        EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
-    }
-    // What has come, without waiting; `ended` and `error` tell how the connection did.
-    void look() {
-        char buffer[4096];
-        ssize_t n = 0;
-        while ((n = ::recv(fd_, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
-            got.append(buffer, static_cast<std::size_t>(n));
-        ended |= n == 0;
-        if (n < 0 && errno != EAGAIN) error = errno;
-    }
-    std::string got;
-    bool ended = false;
-    int error = 0;
-
-private:
-    int fd_;
-};
-
 // Guards against requests that are lost with a reset as a drain begins: on a connection that nobody has
 // accepted yet, and on one that rests with a request in it that nobody has read yet.
 TEST_F(GatewayTest, WhatLiesUnreadAsTheDrainBeginsIsAnswered) {
     begin();
     BlockingClient resting(gate->port());
     resting.send(post(false));
-    ASSERT_TRUE(until([&] { return resting.look(), resting.got.rfind("HTTP/1.1 200", 0) == 0; }));
+    ASSERT_TRUE(until([&] { return resting.look(), resting.text.rfind("HTTP/1.1 200", 0) == 0; }));
     pass(20);
     resting.look();
-    resting.got.clear();
+    resting.text.clear();
     BlockingClient unaccepted(gate->port());
     unaccepted.send(post(false));
     resting.send(post(false));
     gate->drain([] {});
-    const auto over = [](BlockingClient& c) { return c.look(), c.ended || c.error != 0; };
+    const auto over = [](BlockingClient& c) { return c.look(), c.ended || c.reset; };
     EXPECT_TRUE(until([&] { return over(unaccepted) && over(resting); }));
     for (const BlockingClient* c : {&unaccepted, &resting}) {
-        EXPECT_EQ(c->got.rfind("HTTP/1.1 529", 0), 0u) << c->got;
-        EXPECT_EQ(c->error, 0);
+        EXPECT_EQ(c->text.rfind("HTTP/1.1 529", 0), 0u) << c->text;
+        EXPECT_FALSE(c->reset);
     }
 }
 
--- a/tests/soak/clients.mjs
+++ b/tests/soak/clients.mjs
@@ -41,10 +41,10 @@
     const body = `{"n":"${txn}"}`;
     const forms = world.schedule.habits.forms && random.chance(0.4);
     const target = forms ? '/v1/chat/completions?trace=1' : '/v1/chat/completions';
-    const prefix_ = random.chance(0.5) ? `prefix=o${random.integer(1, 9)},prefix_len=50,` : '';
+    const opening = random.chance(0.5) ? `prefix=o${random.integer(1, 9)},prefix_len=50,` : '';
     const head = `POST ${target} HTTP/1.1\r\nhost: service.internal\r\nx-txn: ${txn}\r\nx-lane: ${LANES[lane]}\r\n` +
       `x-org: acme\r\nx-entity: e${random.integer(1, 200)}\r\nx-remaining: ${forms ? `${remaining * 1000}u` : `${remaining}m`}\r\n` +
-      `x-labels: ${prefix_}prompt_len=${random.integer(100, 4000)},max_out=100\r\n${more}`;
+      `x-labels: ${opening}prompt_len=${random.integer(100, 4000)},max_out=100\r\n${more}`;
     const bytes = forms ? inOtherForm(head, body) : `${head}content-length: ${body.length}\r\n\r\n${body}`;
     return { txn, gateway: gateway.rank, lane: LANES[lane], remaining, target, body, bytes, sentAt: -1, leftAt: -1, status: 0, headAt: -1, firstAt: -1,
       endedAt: -1, end: '', text: '', events: [], connection: null, fresh: false, behind: 0, resend: false };
--- a/tests/soak/servers.mjs
+++ b/tests/soak/servers.mjs
@@ -111,7 +111,7 @@
     const { server, world } = this;
     const now = world.now();
     if (this.forgotten) {
-      this.attemptThatIsReset(request, now);
+      if (request.headers['x-txn']) this.current = this.record(request, now);
       return this.reset('forgotten');
     }
     const rooms = /^\/bootstrap\/rooms\/(.+)$/.exec(request.target);
@@ -135,10 +135,6 @@
     if (world.schedule.habits.dropShort && attempt.told < SHORT) return;
     this.unlessSilent(() => this.serve(attempt));
   }
-  attemptThatIsReset(request, now) {
-    if (!request.headers['x-txn']) return;
-    this.current = this.record(request, now);
-  }
   record(request, now) {
     const { server, world } = this;
     const txn = request.headers['x-txn'];
