Failing test: a KV cache held too long behind a hung decode and a swallowed prefill

The incident of 2026-12-03: after a decode that arrives and is never answered, a further prefill is lost on its own connection, while its server answers everything else. Servers of the soak can now meet each request's messages with a sequence of faults (step_faults.mjs); held.mjs has eight scenarios of it and counts decodes answered 410.

--- a/tests/soak/held.mjs
+++ b/tests/soak/held.mjs
@@ -1,5 +1,6 @@
 // Scenarios of leaked KV leases: one gateway, 4 prefill servers and 5 decode servers, each behind the fault proxy; 40 requests
-// per second, half of them repeatable and half `once`, where the scenario sets nothing else. After 3 s its paths swallow bytes for 4.5 s.
+// per second, half of them repeatable and half `once`, where the scenario sets nothing else. After 3 s its paths swallow bytes for
+// 4.5 s, or the messages of each request meet the scenario's steps one after another (step_faults.mjs).
 // Prints for each scenario how many leases were created during the fault, how many were held too long, the longest, and the
 // request outcomes.
 //
@@ -24,6 +25,16 @@
   'four-of-five': { cut: (harness) => [decodeServers(harness).slice(1), SWALLOW_BOTH] },
   'four-of-five-short': { releaseWithin: 300, deadline: 2000, lanes: ['chat', 'key'], cut: (harness) => [decodeServers(harness).slice(1), SWALLOW_BOTH] },
   'open-connections': { cut: (harness) => [harness.servers, { ...SWALLOW_BOTH, openOnly: true }] },
+  // A decode that arrives and is never answered, then further attempts that are lost on their own connections while their servers
+  // answer everything else.
+  'hung-decode-then-swallowed': { requestsPerS: 20, lanes: ['chat'], steps: ['ok', 'hang'], last: 'swallow' },
+  'hung-decode-then-swallowed-short': { requestsPerS: 20, lanes: ['chat'], releaseWithin: 300, steps: ['ok', 'hang'], last: 'swallow' },
+  'hung-decode-seen-late-then-swallowed': { requestsPerS: 20, lanes: ['chat'], steps: ['ok', 'hang-late'], last: 'swallow' },
+  'two-of-five-hang-then-swallowed': { lanes: ['chat'], steps: ['ok', 'hang'], last: 'swallow', hangAt: 2 },
+  'hung-decode-then-hung-prefill': { requestsPerS: 20, lanes: ['chat'], steps: ['ok', 'hang', 'hang', 'swallow'], last: 'ok' },
+  'lost-prefill-then-swallowed': { requestsPerS: 20, lanes: ['chat'], steps: ['no-answer'], last: 'swallow' },
+  'three-swallowed-prefills': { requestsPerS: 20, lanes: ['chat'], steps: ['no-answer', 'swallow', 'swallow', 'swallow'], last: 'ok' },
+  'hung-decode-then-sound': { requestsPerS: 20, lanes: ['chat'], steps: ['ok', 'hang'], last: 'ok' },
   // Healthy servers that are slow to the first token: they must not be abandoned as unresponsive.
   'slow-writers': { requestsPerS: 4, firstToken: 1800, aim: 4000, seconds: 34 },
   'slow-writers-short': { requestsPerS: 4, firstToken: 1800, aim: 4000, seconds: 8, minAnsweredFraction: 0.55 },
@@ -38,14 +49,22 @@
     load: { readers: 4, writers: 5, perGateway: scenario.requestsPerS ?? 40, leave: 0, keep: 0.8, lanes: scenario.lanes ?? ['chat', 'pay'], patient: true } };
 }
 
+function addSteps(harness, { steps, last, hangAt }, faultWindow) {
+  const hangServers = hangAt ? new Set(decodeServers(harness).slice(0, hangAt).map((server) => server.name)) : null;
+  faultWindow.from = harness.now();
+  faultWindow.to = faultWindow.from + CUT_MS;
+  harness.stepFaults.add({ steps, last, hangServers, ...faultWindow });
+}
+
 async function runScenario(name) {
   const scenario = SCENARIOS[name];
   const schedule = buildSchedule(scenario);
   const harness = new Harness(schedule, { program: process.env.GORSENOTCH, library: process.env.FAULTS_LIBRARY, dir: mkdtempSync(path.join(tmpdir(), `held-${name}-`)) });
   const faultWindow = { from: Infinity, to: -Infinity };
   harness.onLoadStart = async () => {
-    if (!scenario.cut) return;
+    if (!scenario.cut && !scenario.steps) return;
     await harness.sleep(3000);
+    if (scenario.steps) return addSteps(harness, scenario, faultWindow);
     if (scenario.pauseMs) { harness.loadPausedUntil = harness.now() + scenario.pauseMs; await harness.sleep(scenario.pauseMs + 30); }
     const [servers, options] = scenario.cut(harness);
     const cut = harness.paths.cut(servers, options);
@@ -64,9 +83,10 @@
   for (const attempt of attempts) if (attempt.role === 'write' && attempt.ran) runsByTxn.set(attempt.txn, (runsByTxn.get(attempt.txn) ?? 0) + 1);
   const executedTwice = requests.filter((request) => request.lane === 'pay' && runsByTxn.get(request.txn) > 1).length;
   const otherViolations = verdict.violations.filter((violation) => violation.rule !== 'pinned');
+  const withoutState = attempts.filter((attempt) => attempt.outcome === 'turned away 410').length;
   console.log(`${name}: ${leasesInFault.length} leases created during the fault, ${heldTooLong} held too long, longest ${verdict.longestLeaseMs.toFixed(0)} ms of ${schedule.settings.releaseWithin + 350}; ` +
     `${answered} of ${requests.length} requests answered, ${executedTwice} requests of effect once executed twice, ${harness.records.releases.length} releases, ` +
-    `${attempts.length} attempts, other violations ${otherViolations.length}`);
+    `${attempts.length} attempts, ${withoutState} decodes answered 410, other violations ${otherViolations.length}`);
   for (const violation of verdict.violations.slice(0, 5)) console.log(`  ${violation.rule} ${violation.txn}: ${violation.why}`);
   console.log(`  logs in ${harness.dir}`);
   harness.close();
--- a/tests/soak/held.test.mjs
+++ b/tests/soak/held.test.mjs
@@ -6,7 +6,9 @@
 import { fileURLToPath } from 'node:url';
 
 const script = fileURLToPath(new URL('./held.mjs', import.meta.url));
-const SCENARIOS = ['all-writers', 'four-of-five-short', 'open-connections', 'term', 'slow-writers-short'];
+const CUT_SCENARIOS = ['all-writers', 'four-of-five-short', 'open-connections', 'term', 'slow-writers-short'];
+const STEP_SCENARIOS = ['hung-decode-then-swallowed', 'hung-decode-then-swallowed-short', 'hung-decode-seen-late-then-swallowed',
+  'two-of-five-hang-then-swallowed'];
 
 function runScenario(scenario) {
   const child = spawn(process.execPath, [script, scenario], { stdio: ['ignore', 'pipe', 'inherit'] });
@@ -15,8 +17,13 @@
   return new Promise((resolve) => child.on('close', (code) => resolve({ scenario, code, output })));
 }
 
-test('KV leases are taken or released in time when network paths swallow bytes', async () => {
-  const results = await Promise.all(SCENARIOS.map(runScenario));
+async function expectNoViolation(scenarios) {
+  const results = await Promise.all(scenarios.map(runScenario));
   for (const { output } of results) console.log(output);
   for (const { scenario, code, output } of results) assert.equal(code, 0, `${scenario}: ${output}`);
-});
+}
+
+test('KV leases are taken or released in time when network paths swallow bytes', () => expectNoViolation(CUT_SCENARIOS));
+
+// Guards against the incident of 2026-12-03.
+test('KV leases are released in time when a hung decode is followed by swallowed attempts', () => expectNoViolation(STEP_SCENARIOS));
--- a/tests/soak/servers.mjs
+++ b/tests/soak/servers.mjs
@@ -4,6 +4,7 @@
 import { PORT } from './addresses.mjs';
 import { Random } from './random.mjs';
 import { RequestReader } from './http.mjs';
+import { LATE_CLOSE_MS } from './step_faults.mjs';
 
 const LEASE_RETENTION_MS = 20000;  // an unused lease expires at the server after this
 const SHORT_TIMEOUT_MS = 60;  // with less remaining time a server may drop a request without a response
@@ -27,7 +28,7 @@
       block: this.block, health: this.health, share: 1.0, born_ms: this.listedStartUnixMs };
   }
   listen() {
-    this.server = net.createServer((socket) => this.accept(socket));
+    this.server = net.createServer({ allowHalfOpen: true }, (socket) => this.accept(socket));
     return new Promise((resolve, reject) => {
       this.server.on('error', reject);
       this.server.listen(PORT, this.address, 1024, resolve);
@@ -67,6 +68,9 @@
     this.currentAttempt = null;  // the attempt being served
     this.peerStateLost = false;  // as if this host had lost the connection's state: the next request is answered by a reset
     this.ended = false;
+    this.inwardLost = false;  // nothing more arrives on this connection, nor does its end
+    this.outwardLost = false;  // nothing more leaves on this connection
+    this.closeDelayMs = 0;  // the end of the connection is seen this much later
     socket.setNoDelay(true);
     server.connections.add(this);
     this.reader = new RequestReader({
@@ -75,10 +79,15 @@
       onError: () => this.reset('unreadable'),
     });
     socket.setEncoding('latin1');
-    socket.on('data', (bytes) => { if (!this.ended) this.reader.feed(bytes); });
+    socket.on('data', (bytes) => { if (!this.ended && !this.inwardLost) this.reader.feed(bytes); });
     socket.on('error', () => {});
-    socket.on('end', () => this.onClosed('fin'));
-    socket.on('close', () => this.onClosed('close'));
+    socket.on('end', () => this.onPeerClosed('fin'));
+    socket.on('close', () => this.onPeerClosed('close'));
+  }
+  onPeerClosed(reason) {
+    if (this.inwardLost && reason === 'fin') return;
+    if (this.closeDelayMs === 0) return this.onClosed(reason);
+    setTimeout(() => this.onClosed(reason), this.closeDelayMs);
   }
   onClosed(reason) {
     if (this.ended) return;
@@ -101,7 +110,7 @@
     attempt.endedAt = this.harness.now();
     attempt.outcome = outcome;
   }
-  write(text) { if (!this.ended) this.socket.write(text, 'latin1'); }
+  write(text) { if (!this.ended && !this.outwardLost) this.socket.write(text, 'latin1'); }
   // Runs a callback after a delay, unless the connection or the server has ended.
   runAfter(delayMs, callback) {
     const incarnation = this.server.incarnation;
@@ -129,6 +138,14 @@
       if (request.method === 'DELETE') harness.releaseLeases(releaseMatch[1], now);
       return this.whenResponsive(() => this.write('HTTP/1.1 204 No Content\r\n\r\n'));
     }
+    const step = harness.stepFaults.next(request.headers['x-txn'], server.name);
+    if (step === 'swallow') {
+      harness.records.swallowed.push({ txn: request.headers['x-txn'], server: server.name, at: now });
+      this.inwardLost = this.outwardLost = true;
+      return;
+    }
+    if (step === 'no-answer') this.outwardLost = true;
+    if (step === 'hang-late') this.closeDelayMs = LATE_CLOSE_MS;
     const attempt = this.recordAttempt(request, now);
     const { txn } = attempt;
     harness.onAttemptArrived(attempt);
@@ -136,6 +153,7 @@
     this.currentAttempt = attempt;
     this.random = new Random(harness.schedule.seed, `${txn}@${server.name}#${attempt.id}`);
     if (harness.schedule.peerBehavior.dropShort && attempt.told < SHORT_TIMEOUT_MS) return;
+    if (step === 'hang' || step === 'hang-late') return;
     this.whenResponsive(() => this.serve(attempt));
   }
   recordAttempt(request, now) {
--- a/tests/soak/world.mjs
+++ b/tests/soak/world.mjs
@@ -12,6 +12,7 @@
 import { Paths } from './paths.mjs';
 import { Random } from './random.mjs';
 import { ModelServer } from './servers.mjs';
+import { StepFaults } from './step_faults.mjs';
 import { injectFault } from './troubles.mjs';
 
 const MAX_SERVERS = 40;
@@ -24,13 +25,14 @@
   constructor(schedule, { program, library, dir }) {
     Object.assign(this, { schedule, program, library, dir });
     this.random = new Random(schedule.seed, 'world');
-    this.records = { requests: [], attempts: [], releases: [], leases: [], starts: [], malformed: [], reloads: [] };
+    this.records = { requests: [], attempts: [], releases: [], leases: [], swallowed: [], starts: [], malformed: [], reloads: [] };
     this.earlyViolations = [];  // violations detected during the run
     this.pendingFaults = [];  // faults that wait for their trigger
     this.callFaultWindows = [];  // {gateway, systemCall, error, from, to}
     this.floods = [];  // {gateway, from, to}
     this.hostDelays = [];  // {at, delayMs, windowMs}: scheduling delays of this host
     this.injected = [];  // {id, at, kind, gateway}: when each fault actually started
+    this.stepFaults = new StepFaults(() => this.now());
     this.leases = new Map();  // txn -> records of KV leases
     this.servers = [];
     this.addresses = new Addresses(process.pid);
@@ -221,6 +223,7 @@
       attempts: this.records.attempts.filter((attempt) => attempt.txn === violation.txn),
       states: this.records.leases.filter((lease) => lease.txn === violation.txn),
       cuts: this.paths.cuts.filter((cut) => cut.from < violation.at + 1000 && cut.to > violation.at - 8000),
+      swallowed: this.records.swallowed.filter((swallowed) => swallowed.txn === violation.txn),
       releases: this.records.releases.filter((release) => release.txn === violation.txn),
       lives: rank === undefined ? [] : this.gateways[rank].incarnations.map((incarnation) => without(incarnation, ['done', 'onExit', 'lastStatus'])),
       stops: rank === undefined ? [] : this.gateways[rank].stops,
