--- a/src/control/lease_invariant.h
+++ b/src/control/lease_invariant.h
@@ -1,6 +1,6 @@
 // Checks at run time that KV caches stored by prefills are taken or released in time, based on responses
 // alone. It keeps its own records and shares no state with the code that decides on releases
-// (control/kv_lease). No I/O; the caller supplies the clock, in ms.
+// (control/lease_ledger). No I/O; the caller supplies the clock, in ms.
 //
 // Ownership: part of InvariantChecker. It holds one entry per leased KV cache, even after the request ends,
 // until the cache is proved taken or released, or its overrun is reported. Errors: calls for an unknown
--- a/src/gateway/open_request.h
+++ b/src/gateway/open_request.h
@@ -9,7 +9,7 @@
 
 #include "api/chat.h"
 #include "control/attempt_clock.h"
-#include "control/kv_lease.h"
+#include "control/lease_ledger.h"
 #include "gateway/environment.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
@@ -71,7 +71,7 @@
 // One request and its attempts; owned and changed only by RequestLifecycle. Times are ms on the clock of
 // Environment::now().
 struct OpenRequest {
-    explicit OpenRequest(Millis lease_release_timeout) : lease(lease_release_timeout) {}
+    explicit OpenRequest(Millis lease_release_timeout) : leases(lease_release_timeout) {}
 
     NewRequest request;
     Millis arrived_at = 0;
@@ -83,7 +83,7 @@
     std::deque<AttemptState> attempts;
     std::vector<int> prefill_attempts;  // those that may have left a KV cache at their engine
     std::optional<KvState> kv_state;    // what the next decode attempt fetches
-    control::KvLease lease;             // on the KV caches of all prefill attempts
+    control::LeaseLedger leases;        // on the KV caches of all prefill attempts
     int status = 0;                     // HTTP status of the final answer
     api::Usage usage;
     EndReason end_reason = EndReason::none;
--- a/src/gateway/request_attempts.cpp
+++ b/src/gateway/request_attempts.cpp
@@ -42,7 +42,7 @@
     auto upstream_request = make_upstream_request(*request, attempt, now);
     attempt.exchange = make_exchange(start.request, number, attempt.is_prefill);
     if (attempt.is_prefill) request->prefill_attempts.push_back(number);
-    request->lease.on_attempt_begun(now, start.endpoint, !attempt.is_prefill);
+    request->leases.on_attempt_begun(now, start.endpoint, !attempt.is_prefill);
     schedule_lease_check(*request);
     set_timer(TimerKind::attempt_timeout, attempt.clock.timeout_at(), request, number);
     const auto exchange = attempt.exchange;
@@ -118,7 +118,7 @@
     driver_.on_request_written(attempt->clock);
     if (attempt->phase == AttemptState::Phase::not_written) attempt->phase = AttemptState::Phase::written;
     // A written request counts as received by the engine; see on_lease_timer() for the reason.
-    request->lease.on_attempt_answered(environment_.now());
+    request->leases.on_attempt_answered(environment_.now());
 }
 
 void RequestLifecycle::on_stream_begun(const std::string& id, int number) {
@@ -130,7 +130,7 @@
     attempt->last_data_at = environment_.now();
     // The decode engine has fetched the KV cache, so there is nothing to release.
     request->clear_kv_state();
-    request->lease.on_resource_taken();
+    request->leases.on_resource_taken();
     set_timer(TimerKind::stream_idle, attempt->last_data_at + program_.limits.stream_idle_ms, request,
               number);
     const auto exchange = attempt->exchange;
@@ -201,9 +201,9 @@
                                      Millis now) {
     const AttemptState& attempt = request.attempts[static_cast<std::size_t>(number)];
     const bool prefilled = outcome.result == AttemptResult::prefill_done;
-    request.lease.on_attempt_ended(now, never_ran(outcome.result));
+    request.leases.on_attempt_ended(now, never_ran(outcome.result));
     if (attempt.is_prefill && !never_ran(outcome.result)) {
-        request.lease.on_acquired(
+        request.leases.on_acquired(
             now, prefilled ? control::LeaseOrigin::prefill_done : control::LeaseOrigin::prefill_lost,
             attempt.endpoint);
         schedule_lease_check(request);
@@ -276,7 +276,7 @@
 }
 
 void RequestLifecycle::schedule_lease_check(OpenRequest& request) {
-    if (const auto at = request.lease.release_at()) set_timer(TimerKind::lease, *at, &request);
+    if (const auto at = request.leases.release_at()) set_timer(TimerKind::lease, *at, &request);
 }
 
 // Guards against a KV cache that is never released while connection attempts to decode engines keep failing.
@@ -284,12 +284,13 @@
 // was received, and these engines free a KV cache that nobody fetches by a lease of their own. The cost is a
 // second prefill where the next connection attempt would have succeeded.
 void RequestLifecycle::on_lease_timer(OpenRequest& request) {
-    const auto at = request.lease.release_at();
+    const auto at = request.leases.release_at();
     if (!at) return;
     if (*at > environment_.now()) return schedule_lease_check(request);
-    request.lease.on_release_begun(environment_.now());
+    const Millis now = environment_.now();
+    request.leases.on_release_begun(now);
     // Environment::send_detached() retries until a connection accepts the release, so it counts as answered.
-    request.lease.on_release_answered(environment_.now());
+    request.leases.on_release_answered(now, now);
     const std::string id = request.request.id;
     feed(LeaseReleased{id});
     OpenRequest* found = find(id);
--- a/src/platform/access_log.cpp
+++ b/src/platform/access_log.cpp
@@ -37,7 +37,7 @@
     return false;
 }
 
-std::string describe_timeline(const control::KvLease::Timeline& timeline, Millis arrived, Millis now,
+std::string describe_timeline(const control::LeaseLedger::Timeline& timeline, Millis arrived, Millis now,
                               const std::string& holder, const std::string& attempt_endpoint) {
     std::string text("lease ");
     text.append(rounded_text(now - timeline.acquired)).append(" ");
--- a/src/platform/access_log.h
+++ b/src/platform/access_log.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-#include "control/kv_lease.h"
+#include "control/lease_ledger.h"
 #include "gorsenotch/actions.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
@@ -110,7 +110,7 @@
 // The first number is the age of the lease at `now`, in ms; the others are ms since `arrived`. "expiring":
 // when the time limit for proof of arrival passed. "unconfirmed": no response proves that the attempt
 // arrived.
-std::string describe_timeline(const control::KvLease::Timeline& timeline, Millis arrived, Millis now,
+std::string describe_timeline(const control::LeaseLedger::Timeline& timeline, Millis arrived, Millis now,
                               const std::string& holder, const std::string& attempt_endpoint);
 
 // The number of completion tokens given in the closing events of an answer; 0 if there is none.
--- a/src/platform/attempt_runner.cpp
+++ b/src/platform/attempt_runner.cpp
@@ -16,7 +16,11 @@
 
 AttemptRunner::AttemptRunner(LifecycleContext& context, LeaseManager& lease_keeper,
                              RequestCompletion& completion, StreamForwarder& streams)
-    : context_(context), lease_keeper_(lease_keeper), completion_(completion), streams_(streams) {}
+    : context_(context), lease_keeper_(lease_keeper), completion_(completion), streams_(streams) {
+    lease_keeper_.on_prefill_ready = [this](std::uint64_t handle, int index) {
+        send_deferred({handle, index});
+    };
+}
 
 Role AttemptRunner::role_of(const Endpoint& endpoint) const {
     return context_.named.settings.kinds[static_cast<std::size_t>(endpoint.kind)].role;
@@ -36,7 +40,7 @@
     preconditions.now = context_.environment.now();
     preconditions.send_by = conditions.send_by;
     preconditions.lease_released =
-        conditions.reads_kv_cache && request && request->lease.released_since(conditions.decided_at);
+        conditions.reads_kv_cache && request && request->leases.released_since(conditions.decided_at);
     preconditions.deadline = request ? request->deadline : 0;
     const auto block_reason = control::check_send(preconditions);
     if (!block_reason) return true;
@@ -56,33 +60,57 @@
     const DiscoveredEndpoint* endpoint = context_.endpoints.find(start.endpoint);
     AttemptState attempt;
     attempt.endpoint = start.endpoint;
+    attempt.send_by = start.send_by;
     attempt.started_at = now;
     attempt.last_event_at = now;
     attempt.clock = context_.driver.start_clock(start.timeout, request->deadline);
     SendConditions conditions{request->handle, start.endpoint, start.send_by, now, false};
     if (!may_send(conditions)) return end_unsent(*request, std::move(attempt));
     attempt.is_prefill = role_of(endpoint->endpoint) == Role::prefill;
-    const auto exchange = std::make_shared<UpstreamExchange>(
+    attempt.exchange = std::make_shared<UpstreamExchange>(
         attempt.is_prefill ? UpstreamExchange::Kind::prefill : UpstreamExchange::Kind::decode);
-    attempt.exchange = exchange;
-    conditions.reads_kv_cache = !attempt.is_prefill && request->lease.is_held();
+    conditions.reads_kv_cache = !attempt.is_prefill && request->leases.is_held();
+    attempt.exchange->on_ended = [this, key](const AttemptOutcome& outcome) { on_ended(key, outcome); };
+    const bool is_prefill = attempt.is_prefill;
+    ++context_.counters.attempts;
+    ++context_.attempts_in_flight;
+    request->attempts.push_back(std::move(attempt));
+    if (is_prefill && lease_keeper_.defer_prefill(*request, key.index)) return;
+    send(*request, key, conditions);
+}
+
+void AttemptRunner::send(RequestState& request, AttemptKey key, SendConditions conditions) {
+    AttemptState& attempt = *request.find_attempt(key.index);
+    const DiscoveredEndpoint& endpoint = *context_.endpoints.find(attempt.endpoint);
+    const std::shared_ptr<UpstreamExchange> exchange = attempt.exchange;
     exchange->may_start_hook = [this, conditions] { return may_send(conditions); };
-    attach_hooks(*exchange, key, endpoint->endpoint, now);
-    lease_keeper_.on_attempt_begun(*request, attempt);
+    attach_hooks(*exchange, key, endpoint.endpoint, attempt.started_at);
+    lease_keeper_.on_attempt_begun(request, attempt);
     // Guards against announcing more time to the endpoint than remains: connecting may take long.
-    exchange->stamp_hook = [this, key, position = request->inbound.head.size()](std::string& text) {
+    exchange->stamp_hook = [this, key, position = request.inbound.head.size()](std::string& text) {
         insert_remaining_time(key, position, text);
     };
-    const std::string address = endpoint->dial_address;
-    std::string request_text = compose_request(*request, address);
-    context_.driver.set_timer(TimerKind::attempt_timeout, attempt.clock.timeout_at(), request, key.index, 0,
+    const std::string address = endpoint.dial_address;
+    std::string request_text = compose_request(request, address);
+    context_.driver.set_timer(TimerKind::attempt_timeout, attempt.clock.timeout_at(), &request, key.index, 0,
                               true);
-    ++context_.counters.attempts;
-    ++context_.attempts_in_flight;
-    request->attempts.push_back(std::move(attempt));
     context_.environment.start_exchange(address, std::move(request_text), exchange);
 }
 
+void AttemptRunner::send_deferred(AttemptKey key) {
+    context_.driver.handle_stalls();
+    RequestState* request = context_.requests.find(key.handle);
+    AttemptState* attempt = context_.requests.find_attempt(key.handle, key.index);
+    if (!attempt || !attempt->in_flight()) return;
+    const Millis now = context_.environment.now();
+    const SendConditions conditions{key.handle, attempt->endpoint, attempt->send_by, now, false};
+    if (!may_send(conditions)) return give_up(*request, key.index, AttemptResult::not_sent);
+    attempt->started_at = now;
+    attempt->last_event_at = now;
+    attempt->clock = context_.driver.start_clock(attempt->clock.timeout, request->deadline);
+    send(*request, key, conditions);
+}
+
 void AttemptRunner::end_unsent(RequestState& request, AttemptState attempt) {
     AttemptEnded ended;
     ended.request = request.router_id();
@@ -110,7 +138,6 @@
     exchange.on_more_events = [this, key](std::string_view events) {
         streams_.on_more_events(key.handle, key.index, events);
     };
-    exchange.on_ended = [this, key](const AttemptOutcome& outcome) { on_ended(key, outcome); };
 }
 
 std::string AttemptRunner::compose_request(const RequestState& request, const std::string& address) const {
@@ -156,7 +183,7 @@
     RequestState* request = context_.requests.find(stop.request);
     const AttemptState* attempt = request ? request->find_attempt(stop.attempt) : nullptr;
     if (attempt && attempt->phase == AttemptPhase::awaiting_response)
-        abort_attempt(context_.environment, *attempt, AttemptResult::cancelled);
+        give_up(*request, stop.attempt, AttemptResult::cancelled);
 }
 
 void AttemptRunner::on_timeout(RequestState& request, int attempt_index) {
@@ -166,8 +193,14 @@
         return context_.driver.set_timer(TimerKind::attempt_timeout, attempt.clock.timeout_at(), &request,
                                          attempt_index, 0, true);
     const bool endpoint_at_fault = attempt.clock.endpoint_at_fault();
-    abort_attempt(context_.environment, attempt,
-                  endpoint_at_fault ? AttemptResult::timed_out : AttemptResult::cancelled);
+    give_up(request, attempt_index, endpoint_at_fault ? AttemptResult::timed_out : AttemptResult::cancelled);
+}
+
+void AttemptRunner::give_up(RequestState& request, int attempt_index, AttemptResult result) {
+    const std::shared_ptr<UpstreamExchange> exchange = request.find_attempt(attempt_index)->exchange;
+    const bool unsent = request.deferred_prefill && request.deferred_prefill->attempt == attempt_index;
+    lease_keeper_.end_sending(request, *exchange);
+    exchange->abort(unsent ? AttemptResult::not_sent : result);
 }
 
 // ---- end ------------------------------------------------------------------------------------------------
@@ -218,7 +251,7 @@
 
 void AttemptRunner::record_endpoint_evidence(const AttemptState& attempt, const AttemptOutcome& outcome) {
     DiscoveredEndpoint* endpoint = context_.endpoints.find(attempt.endpoint);
-    if (!endpoint) return;
+    if (!endpoint || outcome.result == AttemptResult::not_sent) return;
     const bool answered = outcome.status > 0 && outcome.result != AttemptResult::reset;
     (answered ? endpoint->last_success : endpoint->last_failure) = attempt.ended_at;
 }
--- a/src/platform/attempt_runner.h
+++ b/src/platform/attempt_runner.h
@@ -50,6 +50,12 @@
     // Called when the Router starts an attempt, and again before its first byte. Records a client disconnect
     // that it detects.
     bool may_send(const SendConditions& conditions);
+    // Starts the exchange of an attempt that is in the request's list.
+    void send(RequestState& request, AttemptKey key, SendConditions conditions);
+    // Starts an attempt that LeaseManager had deferred.
+    void send_deferred(AttemptKey key);
+    // Ends an attempt whose stream has not begun.
+    void give_up(RequestState& request, int attempt_index, AttemptResult result);
     void end_unsent(RequestState& request, AttemptState attempt);
     void attach_hooks(UpstreamExchange& exchange, AttemptKey key, const Endpoint& endpoint, Millis sent);
     std::string compose_request(const RequestState& request, const std::string& address) const;
--- a/src/platform/environment.h
+++ b/src/platform/environment.h
@@ -1,6 +1,7 @@
 // The interface of RequestLifecycle to its process: the clock, connections to endpoints, the log.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,11 @@
     virtual void pause(const UpstreamExchange& exchange, bool paused) = 0;
     // Closes the connection of the exchange without a further call to the exchange.
     virtual void close(const UpstreamExchange& exchange) = 0;
+    // Gives up the exchange without a further call to it, and ends the sending direction of its connection,
+    // from which the endpoint sees that it is over. The connection is closed once the endpoint has ended it
+    // too, or after `timeout`; `on_peer_closed` is called in the first case only.
+    virtual void end_sending(const UpstreamExchange& exchange, Millis timeout,
+                             std::function<void()> on_peer_closed) = 0;
     // Whether an idle connection to `address` is available.
     virtual bool has_idle_connection(const std::string& address) = 0;
     // `level`: debug, info, warn or error.
--- a/src/platform/lease_keeper.cpp
+++ b/src/platform/lease_keeper.cpp
@@ -13,6 +13,11 @@
 constexpr int kStatusReserved = 200;
 constexpr int kStatusSlotTaken = 409;
 
+// Whether this process, and not the endpoint, ended the attempt.
+bool ended_by_this_process(AttemptResult result) {
+    return result == AttemptResult::timed_out || result == AttemptResult::cancelled;
+}
+
 }  // namespace
 
 LeaseManager::LeaseManager(LifecycleContext& context)
@@ -30,7 +35,7 @@
 // ---- evidence -------------------------------------------------------------------------------------------
 
 void LeaseManager::on_attempt_begun(RequestState& request, const AttemptState& attempt) {
-    request.lease.on_attempt_begun(attempt.started_at, attempt.endpoint, !attempt.is_prefill);
+    request.leases.on_attempt_begun(attempt.started_at, attempt.endpoint, !attempt.is_prefill);
     // A release does not harm a new prefill attempt: it frees what an earlier attempt has left.
     if (!attempt.is_prefill) releaser_.withdraw(request.release_id);
     schedule_check(request);
@@ -39,30 +44,85 @@
 void LeaseManager::on_request_written(RequestState& request, const AttemptState& attempt) {
     const double prompt_tokens = request.inbound.arrival.prompt_tokens;
     const Millis usual_duration = attempt.is_prefill ? prefill_times_.usual_duration(prompt_tokens) : 0;
-    request.lease.on_request_written(context_.environment.now(), context_.environment.now() + usual_duration);
+    request.leases.on_request_written(context_.environment.now(),
+                                      context_.environment.now() + usual_duration);
     schedule_check(request);
 }
 
 void LeaseManager::on_attempt_answered(RequestState& request) {
-    request.lease.on_attempt_answered(context_.environment.now());
+    request.leases.on_attempt_answered(context_.environment.now());
 }
 
-void LeaseManager::on_kv_cache_fetched(RequestState& request) { request.lease.on_resource_taken(); }
+void LeaseManager::on_kv_cache_fetched(RequestState& request) { request.leases.on_resource_taken(); }
+
+void LeaseManager::end_sending(const RequestState& request, const UpstreamExchange& exchange) {
+    const int attempt_number = request.leases.latest_attempt();
+    context_.environment.end_sending(
+        exchange, request.leases.ending_timeout(),
+        [this, handle = request.handle, attempt_number] { on_close_proved(handle, attempt_number); });
+}
 
 void LeaseManager::on_attempt_ended(RequestState& request, const AttemptState& attempt,
                                     const AttemptOutcome& outcome) {
     const Millis now = attempt.ended_at;
+    request.deferred_prefill.reset();
     const bool prefill_done = outcome.result == AttemptResult::prefill_done;
-    request.lease.on_attempt_ended(now, never_ran(outcome.result));
+    const bool never_arrived = never_ran(outcome.result) || !attempt.exchange->request_written();
+    request.leases.on_attempt_ended(now, never_arrived);
     if (prefill_done)
         prefill_times_.add_prefill(now - attempt.started_at, request.inbound.arrival.prompt_tokens);
     if (attempt.is_prefill && prefill_done)
-        request.lease.on_acquired(now, control::LeaseOrigin::prefill_done, attempt.endpoint);
-    else if (attempt.is_prefill && !never_ran(outcome.result))
-        request.lease.on_acquired(now, control::LeaseOrigin::prefill_lost, attempt.endpoint);
+        request.leases.on_acquired(now, control::LeaseOrigin::prefill_done, attempt.endpoint);
+    else if (attempt.is_prefill && !never_arrived)
+        request.leases.on_acquired(now, control::LeaseOrigin::prefill_lost, attempt.endpoint);
+    if (!ended_by_this_process(outcome.result))
+        request.leases.on_close_proved(now, request.leases.latest_attempt());
     schedule_check(request);
 }
 
+void LeaseManager::on_close_proved(std::uint64_t handle, int attempt_number) {
+    RequestState* request = context_.requests.find(handle);
+    if (!request) return;
+    request->leases.on_close_proved(context_.environment.now(), attempt_number);
+    if (request->deferred_prefill && !request->deferred_prefill->release_begun)
+        release_before_prefill(*request);
+}
+
+// ---- deferred prefills ----------------------------------------------------------------------------------
+
+bool LeaseManager::defer_prefill(RequestState& request, int attempt) {
+    if (!request.leases.needs_release_before_prefill()) return false;
+    request.deferred_prefill = DeferredPrefill{attempt, false, 0};
+    const std::optional<Millis> proof_deadline = request.leases.close_proof_deadline();
+    if (proof_deadline && *proof_deadline > context_.environment.now())
+        set_deferred_prefill_timer(request, *proof_deadline);
+    else
+        release_before_prefill(request);
+    return true;
+}
+
+void LeaseManager::release_before_prefill(RequestState& request) {
+    request.deferred_prefill->release_begun = true;
+    const Millis now = context_.environment.now();
+    const bool needed = request.leases.needs_release_before_prefill();
+    set_deferred_prefill_timer(request, needed ? request.leases.release_answer_deadline(now) : now);
+    if (needed) release(request, ReleaseReason::before_prefill);
+}
+
+void LeaseManager::set_deferred_prefill_timer(RequestState& request, Millis due) {
+    request.deferred_prefill->due = due;
+    const bool is_timeout = due > context_.environment.now();
+    context_.driver.set_timer(TimerKind::deferred_prefill, due, &request, 0, 0, is_timeout);
+}
+
+void LeaseManager::on_deferred_prefill_timer(RequestState& request) {
+    if (!request.deferred_prefill || context_.environment.now() < request.deferred_prefill->due) return;
+    if (!request.deferred_prefill->release_begun) return release_before_prefill(request);
+    const int attempt = request.deferred_prefill->attempt;
+    request.deferred_prefill.reset();
+    on_prefill_ready(request.handle, attempt);
+}
+
 // ---- reservations ---------------------------------------------------------------------------------------
 
 void LeaseManager::reserve_slot(const ReserveSlot& reserve) {
@@ -71,7 +131,7 @@
     const EndpointId endpoint = reserve.endpoint;
     if (context_.endpoint_status(endpoint) != EndpointStatus::healthy) return;
     const std::uint64_t handle = request->handle;
-    request->lease.on_acquired(context_.environment.now(), control::LeaseOrigin::slot_requested, endpoint);
+    request->leases.on_acquired(context_.environment.now(), control::LeaseOrigin::slot_requested, endpoint);
     schedule_check(*request);
     const auto call = std::make_shared<UpstreamExchange>(UpstreamExchange::Kind::lease_call);
     request->reservation = call;
@@ -110,16 +170,20 @@
 // ---- releases -------------------------------------------------------------------------------------------
 
 void LeaseManager::release(RequestState& request, ReleaseReason reason) {
-    if (!request.lease.is_held()) return;
+    if (!request.leases.is_held()) return;
     // The endpoint may have answered the release in progress before the lease was last acquired.
-    if (releaser_.in_progress(request.release_id)) return releaser_.restart(request.release_id);
-    request.lease.on_release_begun(context_.environment.now());
+    if (releaser_.in_progress(request.release_id)) {
+        request.leases.on_release_begun(context_.environment.now());
+        return releaser_.restart(request.release_id, request.closed);
+    }
+    request.leases.on_release_begun(context_.environment.now());
     LeaseReleaser::ReleaseRequest release;
     release.txn = request.inbound.txn;
     release.request = request.handle;
-    release.holder = request.lease.timeline().holder;
-    release.needs_second_release = request.lease.needs_second_release();
-    if (request.attempt_in_flight()) release.unresponsive = request.lease.timeline().attempt_endpoint;
+    release.holder = request.leases.timeline().holder;
+    // While the request goes on, its leases make the second release due by themselves.
+    release.needs_second_release = request.closed && request.leases.needs_second_release();
+    if (request.attempt_in_flight()) release.unresponsive = request.leases.timeline().attempt_endpoint;
     release.reason = reason;
     ++context_.counters.release_reasons[static_cast<std::size_t>(reason)];
     release.lease_description = describe(request);
@@ -144,14 +208,18 @@
     RequestState* request = context_.requests.find(result.release.request);
     if (!request) return;
     if (result.end == ReleaseEnd::answered) {
-        const Millis age = context_.environment.now() - request->lease.timeline().acquired;
+        const Millis age = context_.environment.now() - request->leases.timeline().acquired;
         Millis& longest = context_.counters.longest_lease;
-        if (!request->lease.only_prefill_in_flight()) longest = std::max(longest, age);
-        request->lease.on_release_answered(context_.environment.now());
+        if (!request->leases.only_prefill_in_flight()) longest = std::max(longest, age);
+        request->leases.on_release_answered(context_.environment.now(), result.call_sent_at);
     } else {
-        request->lease.on_release_failed();
+        request->leases.on_release_failed();
     }
     schedule_check(*request);
+    const bool prefill_ready = result.end == ReleaseEnd::answered && request->deferred_prefill &&
+                               request->deferred_prefill->release_begun &&
+                               !request->leases.needs_release_before_prefill();
+    if (prefill_ready) set_deferred_prefill_timer(*request, context_.environment.now());
 }
 
 void LeaseManager::log_release(const LeaseReleaser::Result& result) {
@@ -173,8 +241,8 @@
 // ---- expiry ---------------------------------------------------------------------------------------------
 
 void LeaseManager::schedule_check(RequestState& request) {
-    const std::optional<Millis> health_check_at = request.lease.health_check_at();
-    const std::optional<Millis> at = health_check_at ? health_check_at : request.lease.release_at();
+    const std::optional<Millis> health_check_at = request.leases.health_check_at();
+    const std::optional<Millis> at = health_check_at ? health_check_at : request.leases.release_at();
     if (!at || (request.lease_check_at && *request.lease_check_at <= *at)) return;
     request.lease_check_at = *at;
     context_.driver.set_timer(TimerKind::lease, *at, &request, 0, 0, true);
@@ -182,8 +250,8 @@
 
 void LeaseManager::on_lease_timer(RequestState& request) {
     request.lease_check_at.reset();
-    if (request.lease.prefill_in_flight()) check_prefill_endpoint(request);
-    const std::optional<Millis> at = request.lease.release_at();
+    if (request.leases.prefill_in_flight()) check_prefill_endpoint(request);
+    const std::optional<Millis> at = request.leases.release_at();
     if (!at) return;
     if (*at > context_.environment.now()) return schedule_check(request);
     release_expiring(request);
@@ -192,8 +260,8 @@
 // Extends the lease if the prefill's endpoint has answered anything sent after the prefill. Sends a health
 // check if such an answer is due and none has been received.
 void LeaseManager::check_prefill_endpoint(RequestState& request) {
-    const EndpointId endpoint = request.lease.timeline().attempt_endpoint;
-    const Millis sent = request.lease.prefill_written_at();
+    const EndpointId endpoint = request.leases.timeline().attempt_endpoint;
+    const Millis sent = request.leases.prefill_written_at();
     const bool unusual =
         prefill_times_.is_unusual(context_.environment.now() - sent, request.inbound.arrival.prompt_tokens);
     // No health check can be sent before a request of this process has ended; until then an answer to
@@ -201,18 +269,20 @@
     const Millis since = context_.health_checker.can_check() ? sent : 0;
     const auto answered_at = context_.health_checker.answered_since(endpoint, since);
     if (answered_at && !unusual)
-        request.lease.on_endpoint_answered(since > 0 ? *answered_at : context_.environment.now());
-    const std::optional<Millis> check_at = request.lease.health_check_at();
+        request.leases.on_endpoint_answered(since > 0 ? *answered_at : context_.environment.now());
+    const std::optional<Millis> check_at = request.leases.health_check_at();
     if (!check_at || *check_at > context_.environment.now()) return;
-    request.lease.on_health_check_sent();
+    request.leases.on_health_check_sent();
     context_.health_checker.check(endpoint);
 }
 
 void LeaseManager::release_expiring(RequestState& request) {
-    if (request.lease.only_prefill_in_flight()) return release(request, ReleaseReason::prefill_unanswered);
-    request.lease.on_expiring(context_.environment.now());
-    if (request.attempt_in_flight()) {
-        DiscoveredEndpoint* unresponsive = context_.endpoints.find(request.lease.timeline().attempt_endpoint);
+    if (request.leases.only_prefill_in_flight()) return release(request, ReleaseReason::prefill_unanswered);
+    request.leases.on_expiring(context_.environment.now());
+    // A prefill in flight that is only slow is no reason for an earlier attempt's lease to expire.
+    if (request.attempt_in_flight() && !request.attempts.back().is_prefill) {
+        DiscoveredEndpoint* unresponsive =
+            context_.endpoints.find(request.leases.timeline().attempt_endpoint);
         if (unresponsive) unresponsive->last_failure = context_.environment.now();
     }
     release(request, ReleaseReason::lease_expiring);
@@ -228,7 +298,7 @@
 }
 
 std::string LeaseManager::describe(const RequestState& request) {
-    const control::KvLease::Timeline& timeline = request.lease.timeline();
+    const control::LeaseLedger::Timeline timeline = request.leases.timeline();
     return describe_timeline(timeline, request.arrived, context_.environment.now(),
                              context_.endpoint_name(timeline.holder),
                              context_.endpoint_name(timeline.attempt_endpoint));
--- a/src/platform/lease_keeper.h
+++ b/src/platform/lease_keeper.h
@@ -1,14 +1,15 @@
 // KV-cache leases of requests: tracks what endpoints may hold for a request, and releases it in time.
 //
-// Feeds evidence from attempts to each request's control::KvLease, sets the timer at which the lease expires
-// or a prefill endpoint is due a health check, and starts releases. A release is sent whenever something may
-// be held, even if that is not certain: otherwise a KV cache that no decode attempt fetches would occupy the
-// endpoint's memory until the endpoint's own limit.
+// Feeds evidence from attempts to each request's control::LeaseLedger, sets the timer at which the lease
+// expires or a prefill endpoint is due a health check, and starts releases. A release is sent whenever
+// something may be held, even if that is not certain: otherwise a KV cache that no decode attempt fetches
+// would occupy the endpoint's memory until the endpoint's own limit.
 #pragma once
 
+#include <functional>
 #include <string>
 
-#include "control/kv_lease.h"
+#include "control/lease_ledger.h"
 #include "control/prefill_times.h"
 #include "gorsenotch/actions.h"
 #include "platform/access_log.h"
@@ -35,9 +36,20 @@
     void on_attempt_answered(RequestState& request);
     // The decode endpoint has fetched the KV cache.
     void on_kv_cache_fetched(RequestState& request);
+    // Gives up the exchange of the attempt in flight. Its endpoint's end of the connection later proves that
+    // the endpoint has noticed.
+    void end_sending(const RequestState& request, const UpstreamExchange& exchange);
     // The attempt has ended. A prefill that may have run acquires the lease.
     void on_attempt_ended(RequestState& request, const AttemptState& attempt, const AttemptOutcome& outcome);
 
+    // Whether the prefill attempt has to wait until the resources of earlier attempts are released: a later
+    // release would free its result as well. Then on_prefill_ready is called when it may start. The wait is
+    // bounded, see control/lease_ledger.
+    bool defer_prefill(RequestState& request, int attempt);
+    std::function<void(std::uint64_t handle, int attempt)> on_prefill_ready;
+    // The timer `TimerKind::deferred_prefill` of the request has fired.
+    void on_deferred_prefill_timer(RequestState& request);
+
     // Asks a decode endpoint to reserve a slot for the request. The Router is informed only if the slot was
     // reserved or is taken.
     void reserve_slot(const ReserveSlot& reserve);
@@ -49,7 +61,7 @@
 
     // Releases everything that may be held for the request, or restarts a release in progress. Does not wait
     // for an attempt in flight: a release does not affect a decode that has arrived, but it frees the KV
-    // cache that a prefill in flight stores, see control/kv_lease.
+    // cache that a prefill in flight stores, see control/lease_ledger.
     void release(RequestState& request, ReleaseReason reason);
     // The latest release of the request has neither ended nor been withdrawn.
     bool release_in_progress(const RequestState& request) const;
@@ -64,6 +76,9 @@
     const LeaseReleaser::Counts& release_counts() const { return releaser_.counts(); }
 
 private:
+    void on_close_proved(std::uint64_t handle, int attempt_number);
+    void release_before_prefill(RequestState& request);
+    void set_deferred_prefill_timer(RequestState& request, Millis due);
     void schedule_check(RequestState& request);
     void check_prefill_endpoint(RequestState& request);
     void release_expiring(RequestState& request);
--- a/src/platform/lease_releaser.cpp
+++ b/src/platform/lease_releaser.cpp
@@ -68,11 +68,15 @@
     return id;
 }
 
-void LeaseReleaser::restart(std::uint64_t id) {
+void LeaseReleaser::restart(std::uint64_t id, bool needs_second_release) {
     const auto it = releases_.find(id);
     if (it == releases_.end()) return;
     Release& release = it->second;
-    release.second_release = SecondRelease::after_answer;
+    release.second_release = needs_second_release ? SecondRelease::after_answer : SecondRelease::none;
+    if (!needs_second_release) {
+        for (Call& call : release.calls) end_call(call, false);
+        release.calls.clear();
+    }
     release.phase = Phase::normal;
     release.unanswered_calls = std::min<std::size_t>(release.unanswered_calls, kMaxConcurrentCalls);
     release.tried.clear();
--- a/src/platform/lease_releaser.h
+++ b/src/platform/lease_releaser.h
@@ -16,7 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "control/kv_lease.h"
+#include "control/lease_ledger.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
 #include "platform/endpoint_list.h"
@@ -30,12 +30,14 @@
 
 // Why a release was started.
 enum class ReleaseReason {
-    request_over,       // the request has no attempt left that will read the KV cache
-    lease_expiring,     // its decode attempt was not confirmed to have arrived in time
-    prefill_unanswered  // a prefill has been in flight for long; it may have ended and its response been lost
+    request_over,        // the request has no attempt left that will read the KV cache
+    lease_expiring,      // its decode attempt was not confirmed to have arrived in time
+    prefill_unanswered,  // a prefill has been in flight for long; it may have ended and its response been
+                         // lost
+    before_prefill       // another prefill is about to start, whose result a later release would free
 };
-constexpr std::array<const char*, 3> kReleaseReasons = {"request_over", "lease_expiring",
-                                                        "prefill_unanswered"};
+constexpr std::array<const char*, 4> kReleaseReasons = {"request_over", "lease_expiring",
+                                                        "prefill_unanswered", "before_prefill"};
 
 // How a release ended: an endpoint answered it, none did in time, or another attempt of the request started.
 enum class ReleaseEnd { answered, unanswered, withdrawn };
@@ -86,9 +88,10 @@
     std::uint64_t start(ReleaseRequest request);
     // Calls further endpoints if the release is due for a retry.
     void retry(std::uint64_t id);
-    // Starts a new round over all endpoints, followed by a second release, because the lease has been
-    // acquired again since the release was started.
-    void restart(std::uint64_t id);
+    // Starts a new round over all endpoints, because a lease has been acquired since the release was started.
+    // With `needs_second_release` calls in flight may still be answered, and a second release follows.
+    // Without it only calls of the new round count.
+    void restart(std::uint64_t id, bool needs_second_release);
     // Stops a release because another attempt of the request starts: a call that was not sent yet would free
     // the KV cache that the attempt is to read.
     void withdraw(std::uint64_t id);
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -49,7 +49,7 @@
           environment(process),
           driver(named.settings, seed, &RequestState::timers, &RequestState::timeouts),
           requests(named.settings.lease_release_timeout),
-          health_checker(control::KvLease(named.settings.lease_release_timeout).duration(), endpoints,
+          health_checker(control::LeaseLedger(named.settings.lease_release_timeout).duration(), endpoints,
                          environment,
                          [this](Millis at, EndpointId endpoint) {
                              driver.set_timer(TimerKind::health_check, at, nullptr, 0, endpoint, true);
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -53,6 +53,10 @@
         connection_pool_.pause(exchange, paused);
     }
     void close(const UpstreamExchange& exchange) override { connection_pool_.close(exchange); }
+    void end_sending(const UpstreamExchange& exchange, Millis timeout,
+                     std::function<void()> on_peer_closed) override {
+        connection_pool_.end_sending(exchange, timeout, std::move(on_peer_closed));
+    }
     bool has_idle_connection(const std::string& address) override {
         return connection_pool_.has_idle(address);
     }
--- a/src/platform/request_completion.cpp
+++ b/src/platform/request_completion.cpp
@@ -82,7 +82,7 @@
     record.prompt_tokens = request.inbound.arrival.prompt_tokens;
     record.completion_tokens = request.completion_tokens;
     record.cause = cause;
-    if (request.lease.is_held()) record.lease = lease_keeper_.describe(request);
+    if (request.leases.is_held()) record.lease = lease_keeper_.describe(request);
     if (request.stream_begun_at) record.first_token = *request.stream_begun_at - request.arrived;
     record.ended = context_.environment.now() - request.arrived;
     for (const AttemptState& attempt : request.attempts)
--- a/src/platform/request_lifecycle.cpp
+++ b/src/platform/request_lifecycle.cpp
@@ -148,6 +148,8 @@
             return lease_keeper_.on_reservation_timeout(*timer.owner);
         case TimerKind::lease:
             return lease_keeper_.on_lease_timer(*timer.owner);
+        case TimerKind::deferred_prefill:
+            return lease_keeper_.on_deferred_prefill_timer(*timer.owner);
         case TimerKind::attempt_timeout:
         case TimerKind::stream_idle:
             return on_attempt_timer(timer);
--- a/src/platform/request_state.h
+++ b/src/platform/request_state.h
@@ -2,10 +2,10 @@
 //
 // Ownership: RequestTable owns the records. RequestLifecycle adds a record when a request arrives;
 // RequestCompletion closes and removes it. `attempts` is changed by AttemptRunner and, for a begun stream, by
-// StreamForwarder; `lease`, `reservation`, `release_id` and `lease_check_at` by LeaseManager alone. Pointers
-// to a record stay valid until it is removed, which happens only while the Router is idle: after any call
-// that may feed an event to the Router the record has to be looked up again. Times are ms on the clock of
-// Environment::now(). Threading: one thread.
+// StreamForwarder; `leases`, `reservation`, `release_id`, `lease_check_at` and `deferred_prefill` by
+// LeaseManager alone. Pointers to a record stay valid until it is removed, which happens only while the
+// Router is idle: after any call that may feed an event to the Router the record has to be looked up again.
+// Times are ms on the clock of Environment::now(). Threading: one thread.
 #pragma once
 
 #include <deque>
@@ -16,7 +16,7 @@
 #include <unordered_set>
 
 #include "control/attempt_clock.h"
-#include "control/kv_lease.h"
+#include "control/lease_ledger.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
 #include "platform/client.h"
@@ -28,7 +28,16 @@
 namespace gorsenotch::platform {
 
 // The purpose of a timer of the driver; `router` marks the Router's own timers.
-enum class TimerKind { router, attempt_timeout, stream_idle, reservation, release, lease, health_check };
+enum class TimerKind {
+    router,
+    attempt_timeout,
+    stream_idle,
+    reservation,
+    release,
+    lease,
+    health_check,
+    deferred_prefill
+};
 
 struct RequestState;
 using Driver = proxy::RouterDriver<RequestState, TimerKind>;
@@ -48,6 +57,7 @@
     EndpointId endpoint = 0;
     bool is_prefill = false;
     AttemptPhase phase = AttemptPhase::awaiting_response;
+    Millis send_by = 0;        // as StartAttempt::send_by
     Millis started_at = 0;     // when the attempt was started
     Millis last_event_at = 0;  // when its stream last delivered an event, or was resumed
     Millis ended_at = 0;
@@ -64,10 +74,17 @@
     void mark_ended();
 };
 
+// A prefill attempt that waits until the resources of earlier attempts are released.
+struct DeferredPrefill {
+    int attempt = 0;
+    bool release_begun = false;  // before: waits for proof that the last attempt's end was seen
+    Millis due = 0;              // when the wait ends without an answer
+};
+
 // A client's request, from its arrival until it is closed and has no attempt in flight. Owned by
 // RequestTable; changed only by the parts of RequestLifecycle.
 struct RequestState {
-    explicit RequestState(Millis lease_release_timeout) : lease(lease_release_timeout) {}
+    explicit RequestState(Millis lease_release_timeout) : leases(lease_release_timeout) {}
 
     Inbound inbound;           // its body is freed once no attempt can need it
     std::uint64_t handle = 0;  // in decimal also the Router's id of the request
@@ -78,8 +95,9 @@
     double completion_tokens = 0;          // of the answer; 0: not given
     bool closed = false;                   // the client has its final answer, or has disconnected
     bool congested = false;                // the client reads more slowly than its stream arrives
-    control::KvLease lease;                // on the KV cache or slot that endpoints may hold for it
+    control::LeaseLedger leases;           // on what endpoints may hold for it
     std::optional<Millis> lease_check_at;  // when the earliest lease timer fires
+    std::optional<DeferredPrefill> deferred_prefill;
     std::deque<AttemptState> attempts;
     std::shared_ptr<UpstreamExchange> reservation;  // the latest call to reserve a slot
     std::uint64_t release_id = 0;                   // id of the latest release at LeaseReleaser; 0: none
--- a/src/proxy/connection_pool.cpp
+++ b/src/proxy/connection_pool.cpp
@@ -30,12 +30,15 @@
         connecting,
         busy,    // carries `call`
         idle,    // waits for a request, listed in idle_by_address_
+        ending,  // its call was given up; waits for the server's end of the connection
         closed,  // its stream is destroyed; its memory is freed in a later loop iteration
     };
 
     State state = State::connecting;
     std::unique_ptr<net::TcpStream> stream;
     std::unique_ptr<net::Timer> connect_timer;
+    std::unique_ptr<net::Timer> ending_timer;
+    std::function<void()> on_peer_closed;  // while `ending`
     std::string address;
     std::string request;  // stored until the connection is established
     std::shared_ptr<UpstreamCall> call;
@@ -99,6 +102,13 @@
 
 bool ConnectionPool::make_room() {
     if (connections_.size() < config_.max_connections) return true;
+    const auto ending = std::find_if(connections_.begin(), connections_.end(), [](const auto& connection) {
+        return connection->state == Connection::State::ending;
+    });
+    if (ending != connections_.end()) {
+        erase_connection(**ending, ConnectionEnd::cancelled);
+        return true;
+    }
     Connection* oldest = nullptr;
     for (const auto& [address, idle] : idle_by_address_) {
         for (Connection* connection : idle) {
@@ -138,7 +148,7 @@
 void ConnectionPool::connect(Connection& connection) {
     connection.stream = std::make_unique<net::TcpStream>(loop_);
     connection.stream->on_data = [this, &connection](std::string_view bytes) { on_data(connection, bytes); };
-    connection.stream->on_end = [this, &connection](int) { on_connection_closed(connection); };
+    connection.stream->on_end = [this, &connection](int error) { on_connection_closed(connection, error); };
     const int error = connection.stream->connect(
         connection.address, config_.source,
         [this, &connection](int result) { on_connect_result(connection, result); });
@@ -206,7 +216,8 @@
 }
 
 void ConnectionPool::on_data(Connection& connection, std::string_view bytes) {
-    if (connection.state == Connection::State::closed) return;
+    if (connection.state == Connection::State::closed || connection.state == Connection::State::ending)
+        return;
     const net::ActivityScope activity(loop_, "engines");
     if (connection.state != Connection::State::busy)
         return erase_connection(connection, ConnectionEnd::unexpected_bytes);
@@ -216,8 +227,9 @@
     if (connection.state != Connection::State::closed) keep_or_close(connection);
 }
 
-void ConnectionPool::on_connection_closed(Connection& connection) {
+void ConnectionPool::on_connection_closed(Connection& connection, int error) {
     if (connection.state == Connection::State::closed) return;
+    if (connection.state == Connection::State::ending) return on_peer_ended(connection, error);
     const auto call = connection.call;
     const bool connected = connection.state != Connection::State::connecting;
     if (call && connected && !connection.response_started) record_use(connection, true);
@@ -286,6 +298,31 @@
     if (found != by_call_.end()) erase_connection(*found->second, ConnectionEnd::cancelled);
 }
 
+void ConnectionPool::end_sending(const UpstreamCall& call, Millis timeout,
+                                 std::function<void()> on_peer_closed) {
+    const auto found = by_call_.find(&call);
+    if (found == by_call_.end()) return;
+    Connection& connection = *found->second;
+    const bool written = connection.state == Connection::State::busy && connection.stream->queued() == 0;
+    if (!written) return erase_connection(connection, ConnectionEnd::cancelled);
+    by_call_.erase(found);
+    connection.call.reset();
+    connection.state = Connection::State::ending;
+    connection.on_peer_closed = std::move(on_peer_closed);
+    connection.stream->set_reading(true);
+    connection.stream->shutdown_write();
+    connection.ending_timer = std::make_unique<net::Timer>(
+        loop_, [this, &connection] { erase_connection(connection, ConnectionEnd::cancelled); });
+    connection.ending_timer->fire_after(timeout);
+}
+
+// The server ended a connection whose call was given up. Other errors than its reset come from this host.
+void ConnectionPool::on_peer_ended(Connection& connection, int error) {
+    const auto on_peer_closed = std::move(connection.on_peer_closed);
+    erase_connection(connection, ConnectionEnd::cancelled);
+    if (error == 0 || error == UV_ECONNRESET) on_peer_closed();
+}
+
 void ConnectionPool::send_detached(const std::string& address, const proxy::UpstreamRequest& request,
                                    Millis timeout) {
     detached_calls_.send(address, render(address, request, false), timeout);
--- a/src/proxy/connection_pool.h
+++ b/src/proxy/connection_pool.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -68,6 +69,11 @@
     void pause(const UpstreamCall& call, bool paused);
     // Closes the connection of `call` at once, without calling it. No effect if it has none.
     void close(const UpstreamCall& call);
+    // Gives up `call`, without calling it, so that its server's end of the connection shows whether the
+    // server has noticed: sends a FIN, and closes the connection when the server has ended it too, or after
+    // `timeout`. `on_peer_closed` is called in the first case only. A call whose request is not written
+    // completely is closed at once.
+    void end_sending(const UpstreamCall& call, Millis timeout, std::function<void()> on_peer_closed);
     // Sends a request whose response nobody waits for, on a connection of its own; see DetachedCalls.
     void send_detached(const std::string& address, const proxy::UpstreamRequest& request, Millis timeout);
     // The number of busy and idle connections, without those of send_detached().
@@ -101,7 +107,8 @@
     void on_connect_error(Connection& connection, int error);
     void send_request(Connection& connection, std::string request);
     void on_data(Connection& connection, std::string_view bytes);
-    void on_connection_closed(Connection& connection);
+    void on_connection_closed(Connection& connection, int error);
+    void on_peer_ended(Connection& connection, int error);
     void record_use(const Connection& connection, bool failed);
     void keep_or_close(Connection& connection);  // if its call is over
     void add_idle(Connection& connection);
--- a/tests/platform/access_log_test.cpp
+++ b/tests/platform/access_log_test.cpp
@@ -69,7 +69,7 @@
 }
 
 TEST(AccessLog, TheLeaseTimelineShowsItsOriginItsTimesAndWhetherItWasConfirmed) {
-    control::KvLease::Timeline timeline;
+    control::LeaseLedger::Timeline timeline;
     timeline.acquired = 1023, timeline.expiring = 1623, timeline.written = 1024;
     // 677 ms is the lease's age. The other times are ms since the arrival of the request at 1000.
     EXPECT_EQ(describe_timeline(timeline, 1000, 1700, "r1", "w1"),
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -122,7 +122,6 @@
     answer_prefill();
     const Millis acquired_at = environment.now_ms;
     Millis released_at = -1;
-    bool prefill_repeated = false;
     for (int attempt = 0; attempt < 4 && released_at < 0; ++attempt) {
         for (int step = 0; step < 50 && released_at < 0; ++step) {
             advance(5);
@@ -131,13 +130,24 @@
         if (released_at >= 0) break;
         last_exchange().exchange->on_connect_failed();
     }
+    const auto further_prefills = [&] {
+        return std::count_if(
+            environment.exchanges.begin() + 1, environment.exchanges.end(), [](const auto& started) {
+                return started.address == "10.0.0.1:1" && started.request.rfind("DELETE", 0) != 0;
+            });
+    };
+    EXPECT_EQ(further_prefills(), 0) << "a later release would free the result of another prefill";
     for (const auto& started : environment.exchanges) {
-        const bool is_prefill = started.address == "10.0.0.1:1" && started.request.rfind("DELETE", 0) != 0;
-        prefill_repeated |= is_prefill && &started != &environment.exchanges.front();
+        const bool is_release = started.request.rfind("DELETE", 0) == 0;
+        if (is_release && !started.exchange->has_outcome()) {
+            started.exchange->on_data("HTTP/1.1 204 No Content\r\n\r\n");
+            break;
+        }
     }
+    advance(5);
     EXPECT_GE(released_at, 0);
     EXPECT_LE(released_at - acquired_at, 400);
-    EXPECT_TRUE(prefill_repeated)
+    EXPECT_EQ(further_prefills(), 1)
         << "the decode that is still connecting is cancelled in favour of another prefill";
     lifecycle.shutdown();
     answer_all_releases();
@@ -180,13 +190,68 @@
         EXPECT_EQ(started.request.find("rooms/t4"), std::string::npos);
     advance(kCheckDue + 15);  // this health check is not answered
     advance(kCheckTimeout + 5);
-    EXPECT_NE(last_exchange().request.find("rooms/t4"), std::string::npos);
-    EXPECT_NE(last_exchange().address, prefill_endpoint);
+    const auto first_release = std::find_if(
+        environment.exchanges.begin(), environment.exchanges.end(),
+        [](const auto& started) { return started.request.rfind("DELETE /bootstrap/rooms/t4 ", 0) == 0; });
+    ASSERT_NE(first_release, environment.exchanges.end());
+    EXPECT_NE(first_release->address, prefill_endpoint);
+    lifecycle.shutdown();
+    answer_all_releases();
+    advance(12000);
+}
+
+TEST_F(PlatformTest, AFurtherPrefillWaitsForTheReleaseOfWhatAnEarlierAttemptLeft) {
+    const auto prefills = [&] {
+        return std::count_if(environment.exchanges.begin(), environment.exchanges.end(),
+                             [](const auto& started) { return started.request.rfind("POST /v1/", 0) == 0; });
+    };
+    send_request("t1", client);
+    last_exchange().exchange->on_connection_closed();  // the prefill may have completed
+    EXPECT_EQ(release_calls(), 1u);
+    advance(100);
+    EXPECT_EQ(prefills(), 1);
+    for (auto& started : environment.exchanges) {
+        if (started.request.rfind("DELETE", 0) == 0 && !started.exchange->has_outcome())
+            started.exchange->on_data("HTTP/1.1 204 No Content\r\n\r\n");
+        if (started.request.rfind("DELETE", 0) == 0) break;
+    }
+    advance(10);
+    EXPECT_EQ(prefills(), 2);
+    const std::size_t releases = release_calls();
+    advance(400);
+    EXPECT_EQ(release_calls(), releases)
+        << "the connection was closed by its endpoint: one release is enough";
     lifecycle.shutdown();
     answer_all_releases();
     advance(12000);
 }
 
+TEST_F(PlatformTest, AFurtherPrefillDoesNotWaitLongForAReleaseThatNobodyAnswers) {
+    send_request("t1", client);
+    last_exchange().exchange->on_connection_closed();
+    const Millis lost_at = environment.now_ms;
+    const auto is_prefill = [](const auto& started) { return started.request.rfind("POST /v1/", 0) == 0; };
+    while (environment.now_ms < lost_at + 1000 &&
+           std::count_if(environment.exchanges.begin(), environment.exchanges.end(), is_prefill) < 2)
+        advance(5);
+    EXPECT_GT(environment.now_ms - lost_at, 300);
+    EXPECT_LT(environment.now_ms - lost_at, 400);
+    lifecycle.shutdown();
+    answer_all_releases();
+    advance(12000);
+}
+
+TEST_F(PlatformTest, APrefillWhoseClientLeavesWhileItWaitsIsNeverSent) {
+    const auto handle = send_request("t1", client);
+    last_exchange().exchange->on_connection_closed();
+    lifecycle.on_client_disconnected(handle);
+    answer_all_releases();
+    advance(2000);
+    EXPECT_EQ(std::count_if(environment.exchanges.begin(), environment.exchanges.end(),
+                            [](const auto& started) { return started.request.rfind("POST /v1/", 0) == 0; }),
+              1);
+}
+
 TEST_F(PlatformTest, APrefillCancelledByADisconnectIsReleasedTwice) {
     const auto handle = send_request("t1", client);
     lifecycle.on_client_disconnected(handle);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -70,6 +70,7 @@
         std::string address, request;
         std::shared_ptr<platform::UpstreamExchange> exchange;
         bool closed = false;
+        std::function<void()> on_peer_closed = nullptr;  // set while only the sending direction has ended
     };
     Millis now_ms = 1000;
     Millis connect_time = 0;
@@ -79,21 +80,29 @@
     void start_exchange(const std::string& address, std::string request,
                         std::shared_ptr<platform::UpstreamExchange> exchange, Connection) override {
         if (manual_connect)
-            return exchanges.push_back({address, std::move(request), std::move(exchange), false});
+            return exchanges.push_back({address, std::move(request), std::move(exchange), false, nullptr});
         if (!exchange->may_start()) {
-            exchanges.push_back({address, "", exchange, true});
+            exchanges.push_back({address, "", exchange, true, nullptr});
             return exchange->on_not_sent();
         }
         now_ms += connect_time;
         exchange->stamp_request(request);
         exchange->on_first_byte_sent();
         exchange->on_request_written();
-        exchanges.push_back({address, std::move(request), std::move(exchange), false});
+        exchanges.push_back({address, std::move(request), std::move(exchange), false, nullptr});
     }
     void pause(const platform::UpstreamExchange&, bool) override {}
     void close(const platform::UpstreamExchange& exchange) override {
         for (StartedExchange& started : exchanges) started.closed |= started.exchange.get() == &exchange;
     }
+    void end_sending(const platform::UpstreamExchange& exchange, Millis,
+                     std::function<void()> on_peer_closed) override {
+        for (StartedExchange& started : exchanges) {
+            if (started.exchange.get() != &exchange) continue;
+            started.closed = true;
+            started.on_peer_closed = on_peer_closed;
+        }
+    }
     bool has_idle_connection(const std::string&) override { return false; }
     void log(const char*, const char*, const std::string&) override {}
 };
--- a/tests/proxy/connection_pool_test.cpp
+++ b/tests/proxy/connection_pool_test.cpp
@@ -161,5 +161,54 @@
     EXPECT_TRUE(next && next->status == 204);
 }
 
+// Guards against a release that overtakes the close of the attempt before it: only the server's own end of
+// the connection proves that it has seen ours.
+TEST_F(ConnectionPoolTest, TheServersEndOfAGivenUpCallIsReported) {
+    std::optional<platform::AttemptOutcome> outcome;
+    const auto call = start(outcome);
+    run(10);
+    server.accept();
+    ASSERT_NE(server.read(0), "");
+    bool peer_closed = false;
+    pool.end_sending(*call, 200, [&] { peer_closed = true; });
+    run(10);
+    char byte = 0;
+    EXPECT_EQ(::recv(server.accepted[0], &byte, 1, 0), 0) << "the server sees the end at once";
+    EXPECT_FALSE(peer_closed);
+    server.write(0, kResponse);  // too late: nobody waits for it
+    run(10);
+    EXPECT_FALSE(peer_closed);
+    EXPECT_EQ(pool.connections(), 1u);
+    server.shutdown_write(0);
+    run(10);
+    EXPECT_TRUE(peer_closed);
+    EXPECT_FALSE(outcome) << "a call that was given up is not called";
+    EXPECT_EQ(pool.connections(), 0u);
+}
+
+TEST_F(ConnectionPoolTest, AGivenUpCallIsClosedInTimeIfTheServerKeepsItsEndOpen) {
+    std::optional<platform::AttemptOutcome> outcome;
+    const auto call = start(outcome);
+    run(10);
+    server.accept();
+    bool peer_closed = false;
+    pool.end_sending(*call, 50, [&] { peer_closed = true; });
+    run(30);
+    EXPECT_EQ(pool.connections(), 1u);
+    run(40);
+    EXPECT_EQ(pool.connections(), 0u);
+    EXPECT_FALSE(peer_closed);
+}
+
+TEST_F(ConnectionPoolTest, AGivenUpCallThatWasNotWrittenIsClosedAtOnce) {
+    std::optional<platform::AttemptOutcome> outcome;
+    const auto call = start(outcome);
+    bool peer_closed = false;
+    pool.end_sending(*call, 50, [&] { peer_closed = true; });
+    EXPECT_EQ(pool.connections(), 0u);
+    run(70);
+    EXPECT_FALSE(peer_closed);
+}
+
 }  // namespace
 }  // namespace gorsenotch::test
--- a/tests/router/router_kv_lease_test.cpp
+++ b/tests/router/router_kv_lease_test.cpp
@@ -31,7 +31,7 @@
     EXPECT_EQ(harness->actions_of<StartAttempt>().size(), 1u);  // the repeated prefill
 }
 
-// After the host has released the lease (control/kv_lease), no further decode attempt may use it.
+// After the host has released the lease (control/lease_ledger), no further decode attempt may use it.
 TEST_F(RouterKvLeaseTest, RequestWhoseLeaseHasEndedIsPrefilledAgain) {
     start_router(test_settings(), {prefill_endpoint(1), decode_endpoint(11), decode_endpoint(12)});
     const EndpointId prefill_at = arrive("a", 10);
