Ledger: an earlier decode may still wait while a later one is in flight

Seen: prefill done, a decode that hangs and whose close is seen late, a second decode that is swallowed; a release beside the second decode was taken for done, and the KV cache was held for 1,666 ms of 1,300. Second sequence: the proved end of a later attempt was credited to the earlier one, whose end was still unproved; never released.

Each lease now keeps the ends of all attempts that may have waited for it, each with its own proof; a release is certain only if it was sent after all of them.

--- a/src/control/lease_ledger.cpp
+++ b/src/control/lease_ledger.cpp
@@ -19,6 +19,8 @@
 constexpr double kLatestProofFraction = 0.8;
 // The peer's close usually follows within a round trip. Without it, a further prefill waits this long.
 constexpr double kCloseProofFraction = 0.1;
+// From an answered release that may have freed nothing to the next one, at least.
+constexpr double kNextReleaseFraction = 0.35;
 // A connection whose attempt was given up stays half open for this long.
 constexpr double kEndingFraction = 0.35;
 // A further prefill waits this long for the answer to the release before it: two calls to other endpoints.
@@ -146,17 +148,15 @@
     for (Lease& lease : leases_) record_unproved_end(lease, now);
 }
 
-void LeaseLedger::record_unproved_end(Lease& lease, Millis now) {
-    attempt_ended_at_ = now;
-    lease.unproved_attempt = latest_attempt_;
-    lease.certain_from = now + kPrefillFraction * duration_ + kPrefillExtra;
+void LeaseLedger::record_unproved_end(Lease& lease, Millis now) const {
+    if (lease.unproved_ends.empty()) lease.waited_until = now;
+    lease.unproved_ends.push_back({latest_attempt_, now});
 }
 
 void LeaseLedger::on_close_proved(Millis now, int attempt) {
     for (Lease& lease : leases_) {
-        if (lease.unproved_attempt != attempt) continue;
-        lease.unproved_attempt = 0;
-        lease.certain_from = now;
+        const auto is_proved = [attempt](const UnprovedEnd& end) { return end.attempt == attempt; };
+        if (std::erase_if(lease.unproved_ends, is_proved) > 0) lease.proved_at = now;
     }
 }
 
@@ -185,6 +185,14 @@
 
 void LeaseLedger::on_release_failed() { release_in_progress_ = false; }
 
+// Whether no attempt could wait for the resource any more when the release call was sent.
+bool LeaseLedger::is_certain(const Lease& lease, Millis sent_at) const {
+    const Millis seen_after = kPrefillFraction * duration_ + kPrefillExtra;
+    return sent_at >= lease.proved_at &&
+           std::all_of(lease.unproved_ends.begin(), lease.unproved_ends.end(),
+                       [&](const UnprovedEnd& end) { return sent_at >= end.ended_at + seen_after; });
+}
+
 // Whether the answered release call has certainly freed the resource.
 bool LeaseLedger::free_by_release(Lease& lease, Millis now, Millis sent_at) {
     if (is_prefill_in_flight(lease)) {
@@ -194,19 +202,21 @@
         return false;
     }
     if (lease.acquired > sent_at) return false;
+    if (!is_certain(lease, sent_at)) {
+        lease.released_unproved = true;
+        lease.release_answered_at = now;
+        lease.running_since = std::max(lease.running_since, lease.waited_until);
+        return false;
+    }
     lease.kept_for_decode = attempt_ == Attempt::decode_written;
-    if (lease.kept_for_decode) return false;
-    if (sent_at >= lease.certain_from) return true;
-    lease.released_unproved = true;
-    lease.running_since = std::max(lease.running_since, attempt_ended_at_);
-    return false;
+    return !lease.kept_for_decode;
 }
 
 // ---- decisions ------------------------------------------------------------------------------------------
 
 bool LeaseLedger::needs_second_release() const {
     return std::any_of(leases_.begin(), leases_.end(), [](const Lease& lease) {
-        return !lease.kept_for_decode && lease.unproved_attempt > 0;
+        return !lease.kept_for_decode && !lease.unproved_ends.empty();
     });
 }
 
@@ -219,7 +229,11 @@
 
 std::optional<Millis> LeaseLedger::close_proof_deadline() const {
     if (!needs_second_release()) return std::nullopt;
-    return attempt_ended_at_ + kCloseProofFraction * duration_;
+    Millis latest_end = 0;
+    for (const Lease& lease : leases_) {
+        for (const UnprovedEnd& end : lease.unproved_ends) latest_end = std::max(latest_end, end.ended_at);
+    }
+    return latest_end + kCloseProofFraction * duration_;
 }
 
 Millis LeaseLedger::release_answer_deadline(Millis now) const {
@@ -245,7 +259,9 @@
 Millis LeaseLedger::release_due(const Lease& lease) const {
     if (is_prefill_in_flight(lease))
         return std::max(prefill_limit(lease), prefill_expected_by_ + health_check_timeout());
-    if (attempt_ == Attempt::prefill_written || lease.released_unproved) return prefill_limit(lease);
+    if (lease.released_unproved)
+        return std::max(prefill_limit(lease), lease.release_answered_at + kNextReleaseFraction * duration_);
+    if (attempt_ == Attempt::prefill_written) return prefill_limit(lease);
     const Millis due = lease.running_since + kProofFraction * duration_;
     if (!decode_in_flight()) return due;
     const Millis arrival_due = decode_begun_at_ + kLateDecodeFraction * duration_;
--- a/src/control/lease_ledger.h
+++ b/src/control/lease_ledger.h
@@ -36,6 +36,13 @@
 constexpr std::array<const char*, 4> kLeaseOriginNames = {"prefill_done", "prefill_lost",
                                                           "prefill_unanswered", "slot_requested"};
 
+// The end of an attempt that may have waited for a resource. Nothing proves that its endpoint has seen the
+// end.
+struct UnprovedEnd {
+    int attempt = 0;
+    Millis ended_at = 0;
+};
+
 // One resource that an endpoint holds, or may hold, for the request.
 struct Lease {
     LeaseOrigin origin = LeaseOrigin::prefill_done;
@@ -46,13 +53,12 @@
     // A release was answered while a written decode may have waited for the resource. If the decode had
     // arrived, the resource is held again when the decode ends; otherwise it is free.
     bool kept_for_decode = false;
-    // The attempt that may still run or wait at its endpoint, as nothing proves that its end was seen; 0:
-    // none.
-    int unproved_attempt = 0;
-    Millis certain_from = 0;  // a release call sent from then on frees the resource for certain
-    // A release was answered that may have freed nothing. If so, the resource is held since that attempt
-    // ended.
+    std::vector<UnprovedEnd> unproved_ends;  // attempts that may still run or wait at their endpoints
+    Millis waited_until = 0;                 // the earliest of those ends, proved by now or not
+    Millis proved_at = 0;                    // when the latest of them was proved
+    // A release was answered that may have freed nothing. If so, the resource is held since `waited_until`.
     bool released_unproved = false;
+    Millis release_answered_at = 0;
 };
 
 // All leases of one request. Takes evidence and computes when health checks and releases are due.
@@ -159,7 +165,8 @@
     bool is_prefill_in_flight(const Lease& lease) const;
     Lease* unanswered_prefill();
     void restart_leases(Millis now);
-    void record_unproved_end(Lease& lease, Millis now);
+    void record_unproved_end(Lease& lease, Millis now) const;
+    bool is_certain(const Lease& lease, Millis sent_at) const;
     bool free_by_release(Lease& lease, Millis now, Millis sent_at);
     Millis prefill_limit(const Lease& lease) const;
     Millis release_due(const Lease& lease) const;
@@ -170,7 +177,6 @@
     Attempt attempt_ = Attempt::none;
     Proof proof_ = Proof::none;
     int latest_attempt_ = 0;
-    Millis attempt_ended_at_ = 0;  // of the latest attempt that ended without proof
     bool release_in_progress_ = false;
     bool health_check_sent_ = false;
     Millis decode_begun_at_ = 0;
--- a/tests/control/lease_ledger_test.cpp
+++ b/tests/control/lease_ledger_test.cpp
@@ -248,6 +248,24 @@
     EXPECT_FALSE(lease.is_held());
 }
 
+// Guards against taking a release for done beside a swallowed decode, while the one before it still waited.
+// Found by the property test.
+TEST_F(LeaseLedgerTest, AnEarlierDecodeMayWaitWhileALaterOneIsInFlight) {
+    prefill_then_decode(100);
+    const int first = lease.latest_attempt();
+    lease.on_attempt_ended(400, false);
+    lease.on_attempt_begun(401, kDecodeEndpoint + 1, true);
+    lease.on_request_written(401);
+    lease.on_release_begun(700);
+    lease.on_release_answered(702, 700);
+    EXPECT_TRUE(lease.is_held());
+    lease.on_close_proved(720, first);
+    EXPECT_EQ(lease.release_at(), 1100) << "the first decode may have waited until its close";
+    lease.on_release_begun(1100);
+    lease.on_release_answered(1102, 1100);
+    EXPECT_FALSE(lease.is_held());
+}
+
 TEST_F(LeaseLedgerTest, TheCloseOfAnotherAttemptProvesNothing) {
     prefill_then_decode(100);
     const int first = lease.latest_attempt();
