Lease timer: the earliest of a health check and any lease's release

Found by reading, with a lease for each resource: where a prefill was in flight, the timer was set for the health check of that prefill's endpoint alone, so the usual duration of the prefill delayed the release of a slot, or of an earlier KV cache, at another endpoint. TheUsualDurationOfAPrefillDoesNotDelayTheReleaseOfASlot fails without the mend; 512 of 512 tests pass with it.

--- a/src/platform/lease_keeper.cpp
+++ b/src/platform/lease_keeper.cpp
@@ -242,7 +242,8 @@
 
 void LeaseManager::schedule_check(RequestState& request) {
     const std::optional<Millis> health_check_at = request.leases.health_check_at();
-    const std::optional<Millis> at = health_check_at ? health_check_at : request.leases.release_at();
+    std::optional<Millis> at = request.leases.release_at();
+    if (health_check_at && (!at || *health_check_at < *at)) at = health_check_at;
     if (!at || (request.lease_check_at && *request.lease_check_at <= *at)) return;
     request.lease_check_at = *at;
     context_.driver.set_timer(TimerKind::lease, *at, &request, 0, 0, true);
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -300,6 +300,37 @@
     }
 }
 
+// Guards against a lease that waits for the health check of a prefill at another endpoint.
+TEST_F(LeaseKeeperTest, TheUsualDurationOfAPrefillDoesNotDelayTheReleaseOfASlot) {
+    constexpr int kRequests = 25;  // enough for a usual duration
+    const auto latest_attempt = [&] {
+        return std::find_if(environment.exchanges.rbegin(), environment.exchanges.rend(),
+                            [](const auto& started) { return started.request.rfind("POST /v1/", 0) == 0; })
+            ->exchange;
+    };
+    for (int i = 0; i < kRequests; ++i) {
+        send_request("earlier" + std::to_string(i), client);
+        advance(650);
+        latest_attempt()->on_data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+        latest_attempt()->on_data(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
+        answer_all_releases();
+    }
+    ASSERT_EQ(lifecycle.open_requests(), 0u);
+    environment.exchanges.clear();
+    const auto handle = send_request("slot", client);
+    EndpointId decode_endpoint = 0;
+    for (const auto& [id, listed] : endpoints.all())
+        decode_endpoint = listed.name == "w1" ? id : decode_endpoint;
+    lifecycle.execute(ReserveSlot{std::to_string(handle), decode_endpoint});
+    advance(kPrefillReleaseLimit);
+    const auto is_release = [](const auto& started) {
+        return started.request.rfind("DELETE /bootstrap/rooms/slot ", 0) == 0;
+    };
+    EXPECT_TRUE(std::any_of(environment.exchanges.begin(), environment.exchanges.end(), is_release));
+    EXPECT_FALSE(environment.exchanges.front().exchange->has_outcome()) << "the prefill is still in flight";
+    shut_down();
+}
+
 TEST_F(PlatformTest, NoSlotIsReservedAtADrainingEndpoint) {
     const auto handle = send_request("t1", client);
     EndpointId decode_endpoint = 0;
