After a request is over, a release follows the proof that its attempt's end was seen

Both releases, at the end of the request and 0.35 of the time-out later, met the decode that still waited, and no third one followed.

The endpoint's end of the connection now makes the next release due at once, and it is the last; without that proof a third release follows after 0.2 of the time-out and 150 ms, when the ledger too counts an end as seen. In the usual case two calls as before, and the second one comes a round trip after the first instead of 0.35 of the time-out. OneReleaseFollowsTheProofThatAnAttemptsEndWasSeen fails on the text before; tests that answered two releases now answer the third as well, with its time.

--- a/src/control/lease_ledger.cpp
+++ b/src/control/lease_ledger.cpp
@@ -21,8 +21,6 @@
 constexpr double kCloseProofFraction = 0.1;
 // From an answered release that may have freed nothing to the next one, at least.
 constexpr double kNextReleaseFraction = 0.35;
-// A connection whose attempt was given up stays half open for this long.
-constexpr double kEndingFraction = 0.35;
 // A further prefill waits this long for the answer to the release before it: two calls to other endpoints.
 constexpr double kReleaseAnswerFraction = 0.35;
 
@@ -187,10 +185,9 @@
 
 // Whether no attempt could wait for the resource any more when the release call was sent.
 bool LeaseLedger::is_certain(const Lease& lease, Millis sent_at) const {
-    const Millis seen_after = kPrefillFraction * duration_ + kPrefillExtra;
     return sent_at >= lease.proved_at &&
            std::all_of(lease.unproved_ends.begin(), lease.unproved_ends.end(),
-                       [&](const UnprovedEnd& end) { return sent_at >= end.ended_at + seen_after; });
+                       [&](const UnprovedEnd& end) { return sent_at >= end.ended_at + ending_timeout(); });
 }
 
 // Whether the answered release call has certainly freed the resource.
@@ -225,7 +222,7 @@
                        [](const Lease& lease) { return !lease.kept_for_decode && !lease.released_unproved; });
 }
 
-Millis LeaseLedger::ending_timeout() const { return kEndingFraction * duration_; }
+Millis LeaseLedger::ending_timeout() const { return kPrefillFraction * duration_ + kPrefillExtra; }
 
 std::optional<Millis> LeaseLedger::close_proof_deadline() const {
     if (!needs_second_release()) return std::nullopt;
--- a/src/platform/lease_keeper.cpp
+++ b/src/platform/lease_keeper.cpp
@@ -81,6 +81,7 @@
 }
 
 void LeaseManager::on_close_proved(std::uint64_t handle, int attempt_number) {
+    releaser_.on_close_proved(handle);
     RequestState* request = context_.requests.find(handle);
     if (!request) return;
     request->leases.on_close_proved(context_.environment.now(), attempt_number);
--- a/src/platform/lease_releaser.cpp
+++ b/src/platform/lease_releaser.cpp
@@ -12,10 +12,16 @@
 // Fractions of the release timeout.
 constexpr double kRetryFraction = 0.15;          // from a call to the next one at another endpoint
 constexpr double kSecondReleaseFraction = 0.35;  // from an answer to the second release
+constexpr double kThirdReleaseFraction = 0.2;    // from the answer of the second release to the third
 constexpr double kGraceFraction = 0.2;           // after the timeout, for the last calls to be answered
 constexpr double kCallTimeoutFraction = 0.3;     // after which a call is ended
 constexpr Millis kDefaultTimeout = 1000;         // if the settings have no release timeout
 
+// Added to the time before the third release, in ms: with it an endpoint that has not seen the end of an
+// attempt has as long for it as control/lease_ledger allows.
+constexpr Millis kThirdReleaseExtra = 150;
+constexpr std::size_t kUnprovedReleases = 2;  // after the first, if an attempt's end is not proved
+
 constexpr std::size_t kMaxConcurrentCalls = 4;   // of one release
 constexpr std::size_t kMaxUnansweredCalls = 12;  // of one release, before it backs off
 constexpr std::size_t kMaxCallsInFlight = 32;    // over all releases
@@ -59,7 +65,7 @@
 std::uint64_t LeaseReleaser::start(ReleaseRequest request) {
     const std::uint64_t id = ++last_id_;
     Release& release = releases_[id];
-    if (request.needs_second_release) release.second_release = SecondRelease::after_answer;
+    if (request.needs_second_release) release.further_releases = kUnprovedReleases;
     release.request = std::move(request);
     release.started_at = environment_.now();
     release.deadline = environment_.now() + (1 + kGraceFraction) * timeout();
@@ -72,7 +78,8 @@
     const auto it = releases_.find(id);
     if (it == releases_.end()) return;
     Release& release = it->second;
-    release.second_release = needs_second_release ? SecondRelease::after_answer : SecondRelease::none;
+    release.further_releases = needs_second_release ? kUnprovedReleases : 0;
+    release.end_proved = false;
     if (!needs_second_release) {
         for (Call& call : release.calls) end_call(call, false);
         release.calls.clear();
@@ -101,7 +108,7 @@
     const bool backing_off = release.phase != Phase::normal;
     release.next_retry_at = now + (backing_off ? release.retry_interval : kRetryFraction * timeout());
     if (backing_off) release.retry_interval = std::min(2 * release.retry_interval, kMaxBackoff);
-    if (release.second_release == SecondRelease::scheduled) release.second_release = SecondRelease::none;
+    release.further_scheduled = false;
     set_timer_(release.next_retry_at, id, true);
     if (release.unanswered_calls >= kMaxUnansweredCalls) back_off(release);
     const std::size_t count = concurrent_calls(release);
@@ -130,7 +137,7 @@
 bool LeaseReleaser::handle_deadline(Release& release) {
     if (environment_.now() < release.deadline) return false;
     // Guards against skipping the second release because this process was stalled when it was due.
-    if (release.second_release == SecondRelease::scheduled) {
+    if (release.further_scheduled) {
         release.deadline = environment_.now() + timeout();
         return false;
     }
@@ -258,15 +265,36 @@
     release.answered = true;
     release.unanswered_calls = 0;
     if (!release.withdrawn) report(release, ReleaseEnd::answered, answered_by, call_sent_at);
-    if (release.second_release != SecondRelease::after_answer || release.withdrawn) return end(id);
-    release.second_release = SecondRelease::scheduled;
-    release.next_retry_at = environment_.now() + kSecondReleaseFraction * timeout();
+    if (release.further_releases == 0 || release.withdrawn) return end(id);
+    release.further_scheduled = true;
+    release.next_retry_at = environment_.now() + further_release_delay(release);
+    --release.further_releases;
     release.deadline = release.next_retry_at + timeout();
     release.tried.clear();
     release.phase = Phase::normal;
     set_timer_(release.next_retry_at, id, false);
 }
 
+Millis LeaseReleaser::further_release_delay(const Release& release) const {
+    if (release.end_proved) return 0;
+    if (release.further_releases == kUnprovedReleases) return kSecondReleaseFraction * timeout();
+    return kThirdReleaseFraction * timeout() + kThirdReleaseExtra;
+}
+
+void LeaseReleaser::on_close_proved(std::uint64_t request) {
+    std::vector<std::uint64_t> due;
+    for (auto& [id, release] : releases_) {
+        if (release.request.request != request || release.end_proved) continue;
+        if (release.further_releases == 0 && !release.further_scheduled) continue;
+        release.end_proved = true;
+        release.further_releases = release.further_scheduled ? 0 : 1;
+        if (!release.further_scheduled) continue;
+        release.next_retry_at = 0;
+        due.push_back(id);
+    }
+    for (const std::uint64_t id : due) retry(id);
+}
+
 void LeaseReleaser::withdraw(std::uint64_t id) {
     const auto it = releases_.find(id);
     if (it == releases_.end()) return;
--- a/src/platform/lease_releaser.h
+++ b/src/platform/lease_releaser.h
@@ -55,8 +55,8 @@
         EndpointId holder = 0;      // the endpoint believed to hold the KV cache or slot
         // The endpoint of an attempt in flight that has not been confirmed to have arrived; 0: none.
         EndpointId unresponsive = 0;
-        // A prefill that was cancelled may still have completed, so a second release follows the first
-        // answer.
+        // An attempt that was cancelled may still run or wait. A second release follows when its end is
+        // proved, see on_close_proved(); without proof a second and a third follow the answers.
         bool needs_second_release = false;
         ReleaseReason reason = ReleaseReason::request_over;
         std::string lease_description;  // for the log
@@ -92,6 +92,9 @@
     // With `needs_second_release` calls in flight may still be answered, and a second release follows.
     // Without it only calls of the new round count.
     void restart(std::uint64_t id, bool needs_second_release);
+    // The endpoint of an attempt of this request has seen the attempt's end, so one release from now on is
+    // enough; it is made at once.
+    void on_close_proved(std::uint64_t request);
     // Stops a release because another attempt of the request starts: a call that was not sent yet would free
     // the KV cache that the attempt is to read.
     void withdraw(std::uint64_t id);
@@ -106,11 +109,6 @@
         backing_off,  // no endpoint answered: one call at a time, at growing intervals
         failed        // still backing off, and reported as unanswered
     };
-    enum class SecondRelease {
-        none,
-        after_answer,  // follows the first answer
-        scheduled      // its timer is set
-    };
     struct Call {
         std::shared_ptr<UpstreamExchange> exchange;
         EndpointId endpoint = 0;
@@ -127,7 +125,9 @@
         std::size_t calls_made = 0;
         std::size_t unanswered_calls = 0;  // since the latest answer
         Phase phase = Phase::normal;
-        SecondRelease second_release = SecondRelease::none;
+        std::size_t further_releases = 0;  // that follow the next answers
+        bool further_scheduled = false;    // the timer of the next one is set
+        bool end_proved = false;           // one more release is enough
         bool answered = false;
         bool withdrawn = false;  // makes no further call; calls already written may still be answered
     };
@@ -137,6 +137,7 @@
     double score(const Release& release, EndpointId id, const DiscoveredEndpoint& endpoint) const;
     double similarity_penalty(EndpointId unresponsive, const DiscoveredEndpoint& endpoint) const;
     void send_call(std::uint64_t id, Release& release, const DiscoveredEndpoint& endpoint);
+    Millis further_release_delay(const Release& release) const;
     void on_answered(std::uint64_t id, EndpointId answered_by, Millis call_sent_at);
     void report(const Release& release, ReleaseEnd end, EndpointId answered_by = 0, Millis call_sent_at = 0);
     void end_overdue_calls(Release& release);
--- a/tests/platform/lease_releaser_test.cpp
+++ b/tests/platform/lease_releaser_test.cpp
@@ -20,8 +20,13 @@
     EXPECT_EQ(release_calls(), 3u)
         << "the first release may have reached its endpoint before the cancelled decode ended";
     answer_release();
-    advance(2000);
+    advance(340);
     EXPECT_EQ(release_calls(), 3u);
+    advance(20);
+    EXPECT_EQ(release_calls(), 4u) << "nothing proves that the decode's endpoint has seen its end";
+    answer_release();
+    advance(2000);
+    EXPECT_EQ(release_calls(), 4u);
 }
 
 // Guards against a release that times out by calling one unresponsive endpoint after another of the same
@@ -86,6 +91,41 @@
     advance(120);
     EXPECT_EQ(release_calls(), 2u);
     answer_release();
+    advance(220);
+    EXPECT_EQ(release_calls(), 3u);
+    answer_release();
+}
+
+// Guards against two releases that both overtake the close of the attempt before them. Found by the soak
+// test.
+TEST_F(ShortReleaseTimeoutTest, OneReleaseFollowsTheProofThatAnAttemptsEndWasSeen) {
+    const auto handle = send_request("t1", client);
+    const auto prove_end = [&] { environment.exchanges.front().on_peer_closed(); };
+    lifecycle.on_client_disconnected(handle);
+    answer_release();
+    advance(120);
+    ASSERT_EQ(release_calls(), 2u);
+    answer_release();
+    advance(50);
+    ASSERT_EQ(release_calls(), 2u);
+    prove_end();
+    EXPECT_EQ(release_calls(), 3u);
+    answer_release();
+    advance(2000);
+    EXPECT_EQ(release_calls(), 3u);
+}
+
+TEST_F(PlatformTest, AProofBeforeTheFirstAnswerMakesTwoReleasesEnough) {
+    const auto handle = send_request("t1", client);
+    lifecycle.on_client_disconnected(handle);
+    environment.exchanges.front().on_peer_closed();
+    EXPECT_EQ(release_calls(), 1u);
+    answer_release();
+    advance(10);
+    EXPECT_EQ(release_calls(), 2u);
+    answer_release();
+    advance(2000);
+    EXPECT_EQ(release_calls(), 2u);
 }
 
 // Guards against skipping the second release of a pair because the process was stalled when it was due.
@@ -98,6 +138,9 @@
     advance(20);
     EXPECT_EQ(release_calls(), 2u);
     answer_release();
+    advance(400);
+    EXPECT_EQ(release_calls(), 3u);
+    answer_release();
     advance(2000);
 }
 
--- a/tests/soak/servers.mjs
+++ b/tests/soak/servers.mjs
@@ -86,6 +86,7 @@
   }
   onPeerClosed(reason) {
     if (this.inwardLost && reason === 'fin') return;
+    if (this.currentAttempt) this.currentAttempt.peerEndedAt ??= this.harness.now();
     if (this.closeDelayMs === 0) return this.onClosed(reason);
     setTimeout(() => this.onClosed(reason), this.closeDelayMs);
   }
--- a/tests/soak/troubles.mjs
+++ b/tests/soak/troubles.mjs
@@ -233,6 +233,12 @@
     cutPaths(harness, { ...fault, durationMs: 4000 }, serversOfRole(harness, 'write'), SWALLOW_BOTH);
     setTimeout(() => { if (!harness.loadEnded) INJECTORS.term(harness, fault); }, 60 * fault.offsetMs);
   },
+  // Each request that begins in the window meets several faults in a row (step_faults.mjs).
+  'fault-sequence': (harness, fault) => {
+    const from = harness.now();
+    harness.stepFaults.add({ steps: fault.steps, from, to: from + fault.durationMs });
+    startBurst(harness, fault, Math.min(1000, fault.durationMs));
+  },
   // Several signals in quick succession.
   'hup-term': (harness, fault) => {
     harness.gateways[fault.gateway].reload();
