A prefill that a later one has overtaken is taken for lost; each lease in the log

The endpoint's life was taken for the attempt's. An answer of the endpoint to a prefill sent later, of as many tokens or more, now ends that extension (control/overtaken_prefills). AnOvertakenPrefillIsReleasedThoughItsEndpointAnswersHealthChecks fails without it. A lost answer that nothing has overtaken is still waited for: the rest of this fault is open.

Log and status: each lease of a request with origin, endpoint, start and what is unproved; longest_lease_ms_by_origin.

--- a/src/platform/lease_keeper.cpp
+++ b/src/platform/lease_keeper.cpp
@@ -69,8 +69,11 @@
     const bool prefill_done = outcome.result == AttemptResult::prefill_done;
     const bool never_arrived = never_ran(outcome.result) || !attempt.exchange->request_written();
     request.leases.on_attempt_ended(now, never_arrived);
-    if (prefill_done)
-        prefill_times_.add_prefill(now - attempt.started_at, request.inbound.arrival.prompt_tokens);
+    if (prefill_done) {
+        const double prompt_tokens = request.inbound.arrival.prompt_tokens;
+        prefill_times_.add_prefill(now - attempt.started_at, prompt_tokens);
+        overtaken_prefills_.on_prefill_answered(attempt.endpoint, attempt.started_at, prompt_tokens);
+    }
     if (attempt.is_prefill && prefill_done)
         request.leases.on_acquired(now, control::LeaseOrigin::prefill_done, attempt.endpoint);
     else if (attempt.is_prefill && !never_arrived)
@@ -209,9 +212,7 @@
     RequestState* request = context_.requests.find(result.release.request);
     if (!request) return;
     if (result.end == ReleaseEnd::answered) {
-        const Millis age = context_.environment.now() - request->leases.timeline().acquired;
-        Millis& longest = context_.counters.longest_lease;
-        if (!request->leases.only_prefill_in_flight()) longest = std::max(longest, age);
+        record_lease_ages(request->leases);
         request->leases.on_release_answered(context_.environment.now(), result.call_sent_at);
     } else {
         request->leases.on_release_failed();
@@ -223,6 +224,14 @@
     if (prefill_ready) set_deferred_prefill_timer(*request, context_.environment.now());
 }
 
+void LeaseManager::record_lease_ages(const control::LeaseLedger& leases) {
+    for (const control::Lease& lease : leases.leases()) {
+        if (lease.origin == control::LeaseOrigin::prefill_unanswered) continue;
+        Millis& longest = context_.counters.longest_leases[static_cast<std::size_t>(lease.origin)];
+        longest = std::max(longest, context_.environment.now() - lease.acquired);
+    }
+}
+
 void LeaseManager::log_release(const LeaseReleaser::Result& result) {
     const bool failed = result.end == ReleaseEnd::unanswered;
     const bool notable =
@@ -259,18 +268,20 @@
     release_expiring(request);
 }
 
-// Extends the lease if the prefill's endpoint has answered anything sent after the prefill. Sends a health
-// check if such an answer is due and none has been received.
+// Extends the lease if the prefill's endpoint has answered anything sent after the prefill, unless the
+// prefill's own response was probably lost. Sends a health check if such an answer is due and none has been
+// received.
 void LeaseManager::check_prefill_endpoint(RequestState& request) {
     const EndpointId endpoint = request.leases.timeline().attempt_endpoint;
     const Millis sent = request.leases.prefill_written_at();
-    const bool unusual =
-        prefill_times_.is_unusual(context_.environment.now() - sent, request.inbound.arrival.prompt_tokens);
+    const double prompt_tokens = request.inbound.arrival.prompt_tokens;
+    const bool probably_lost = prefill_times_.is_unusual(context_.environment.now() - sent, prompt_tokens) ||
+                               overtaken_prefills_.is_overtaken(endpoint, sent, prompt_tokens);
     // No health check can be sent before a request of this process has ended; until then an answer to
     // anything sent earlier counts as well.
     const Millis since = context_.health_checker.can_check() ? sent : 0;
     const auto answered_at = context_.health_checker.answered_since(endpoint, since);
-    if (answered_at && !unusual)
+    if (answered_at && !probably_lost)
         request.leases.on_endpoint_answered(since > 0 ? *answered_at : context_.environment.now());
     const std::optional<Millis> check_at = request.leases.health_check_at();
     if (!check_at || *check_at > context_.environment.now()) return;
@@ -299,11 +310,32 @@
         abort_attempt(context_.environment, latest, AttemptResult::cancelled);
 }
 
+void LeaseManager::forget_unlisted() {
+    overtaken_prefills_.forget_endpoints(
+        [this](EndpointId endpoint) { return context_.endpoints.find(endpoint) == nullptr; });
+}
+
 std::string LeaseManager::describe(const RequestState& request) {
     const control::LeaseLedger::Timeline timeline = request.leases.timeline();
-    return describe_timeline(timeline, request.arrived, context_.environment.now(),
-                             context_.endpoint_name(timeline.holder),
-                             context_.endpoint_name(timeline.attempt_endpoint));
+    std::string text = describe_timeline(timeline, request.arrived, context_.environment.now(),
+                                         context_.endpoint_name(timeline.holder),
+                                         context_.endpoint_name(timeline.attempt_endpoint));
+    for (const control::Lease& lease : request.leases.leases())
+        text.append("; ").append(describe(lease, request));
+    return text;
+}
+
+// One lease: "prefill_lost at r1 acquired 33 since 812 released_unproved"; times are ms since the request
+// arrived.
+std::string LeaseManager::describe(const control::Lease& lease, const RequestState& request) {
+    std::string text(control::kLeaseOriginNames[static_cast<std::size_t>(lease.origin)]);
+    text.append(" at ").append(context_.endpoint_name(lease.holder));
+    text.append(" acquired ").append(std::to_string(std::lround(lease.acquired - request.arrived)));
+    text.append(" since ").append(std::to_string(std::lround(lease.running_since - request.arrived)));
+    if (lease.kept_for_decode) text.append(" kept_for_decode");
+    if (lease.released_unproved) text.append(" released_unproved");
+    if (!lease.unproved_ends.empty()) text.append(" end_unproved");
+    return text;
 }
 
 }  // namespace gorsenotch::platform
--- a/src/platform/lease_keeper.h
+++ b/src/platform/lease_keeper.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "control/lease_ledger.h"
+#include "control/overtaken_prefills.h"
 #include "control/prefill_times.h"
 #include "gorsenotch/actions.h"
 #include "platform/access_log.h"
@@ -70,6 +71,9 @@
     // The timer `TimerKind::lease` of the request has fired.
     void on_lease_timer(RequestState& request);
 
+    // Drops what is known of endpoints that are no longer listed.
+    void forget_unlisted();
+
     // The history of the request's lease, for log lines.
     std::string describe(const RequestState& request);
     std::size_t releases_in_progress() const { return releaser_.size(); }
@@ -84,11 +88,14 @@
     void release_expiring(RequestState& request);
     void on_release_ended(const LeaseReleaser::Result& result);
     void update_lease(const LeaseReleaser::Result& result);
+    void record_lease_ages(const control::LeaseLedger& leases);
+    std::string describe(const control::Lease& lease, const RequestState& request);
     void log_release(const LeaseReleaser::Result& result);
 
     LifecycleContext& context_;
     LeaseReleaser releaser_;
     control::PrefillTimes prefill_times_;
+    control::OvertakenPrefills overtaken_prefills_;
     LogRateLimiter log_rate_limiter_{AccessLog::kLinesPerSecond};
 };
 
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -32,7 +32,8 @@
     // Releases by how they ended and by why they were started.
     std::array<std::uint64_t, kReleaseEnds.size()> release_ends{};
     std::array<std::uint64_t, kReleaseReasons.size()> release_reasons{};
-    Millis longest_lease = 0;  // ms from its acquisition until its release was answered
+    // ms from the acquisition of a lease until its release was answered, by LeaseOrigin.
+    std::array<Millis, control::kLeaseOriginNames.size()> longest_leases{};
 
     std::uint64_t& of(AttemptResult result) { return results[static_cast<std::size_t>(result)]; }
 };
--- a/src/platform/request_lifecycle.cpp
+++ b/src/platform/request_lifecycle.cpp
@@ -53,6 +53,7 @@
     if (update.kind == EndpointUpdate::Kind::full)
         context_.invariant_checker.on_full_list(update.endpoints, now);
     context_.health_checker.forget_unlisted();
+    lease_keeper_.forget_unlisted();
     context_.driver.feed(std::move(update));
 }
 
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 
@@ -115,7 +116,11 @@
                                {"unanswered", lifecycle.health_checker().checks_unanswered()}};
     // Overrun leases that do not count as violations, as no endpoint responded.
     fields["leases_unanswered"] = lifecycle.invariant_checker().unresponsive_overruns();
-    fields["longest_lease_ms"] = std::round(counters.longest_lease);
+    fields["longest_lease_ms"] =
+        std::round(*std::max_element(counters.longest_leases.begin(), counters.longest_leases.end()));
+    for (std::size_t i = 0; i < counters.longest_leases.size(); ++i)
+        fields["longest_lease_ms_by_origin"][control::kLeaseOriginNames[i]] =
+            std::round(counters.longest_leases[i]);
 }
 
 void StatusReporter::add_connections(nlohmann::json& fields) const {
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -334,6 +334,34 @@
     shut_down();
 }
 
+// Guards against waiting for a prefill whose answer was lost on its own connection, while its endpoint
+// answers others. Found by the soak test.
+TEST_F(LeaseKeeperTest, AnOvertakenPrefillIsReleasedThoughItsEndpointAnswersHealthChecks) {
+    apply_list(
+        R"({"seq":8,"whole":false,"hosts":[{"host":"r2","dial":"10.0.0.2:1","site":"a","class":"prefill",)"
+        R"("block":1,"share":1.0,"born_ms":0,"health":"draining"}]})");
+    complete_two_requests();
+    send_request("lost", client);
+    mark_acquired();
+    RecordingClient other;
+    advance(20);
+    send_request("later", other);
+    ASSERT_EQ(last_exchange().address, environment.exchanges.front().address);
+    answer_prefill();
+    answer(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
+    const auto is_release = [](const auto& started) {
+        return started.request.rfind("DELETE /bootstrap/rooms/lost ", 0) == 0;
+    };
+    while (environment.now_ms < acquired_at + 750) {
+        advance(5);
+        const auto& last = last_exchange();
+        const bool is_check = last.request.rfind("DELETE", 0) == 0 && !is_release(last);
+        if (is_check && !last.exchange->has_outcome()) answer("HTTP/1.1 204 No Content\r\n\r\n");
+    }
+    EXPECT_TRUE(std::any_of(environment.exchanges.begin(), environment.exchanges.end(), is_release));
+    shut_down();
+}
+
 TEST_F(PlatformTest, NoSlotIsReservedAtADrainingEndpoint) {
     const auto handle = send_request("t1", client);
     EndpointId decode_endpoint = 0;
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -48,6 +48,7 @@
                                             "health_checks",
                                             "leases_unanswered",
                                             "longest_lease_ms",
+                                            "longest_lease_ms_by_origin",
                                             "new_connections",
                                             "reused_connections",
                                             "accepted",
