--- a/src/platform/lease_keeper.cpp
+++ b/src/platform/lease_keeper.cpp
@@ -65,7 +65,8 @@
 void LeaseManager::on_attempt_ended(RequestState& request, const AttemptState& attempt,
                                     const AttemptOutcome& outcome) {
     const Millis now = attempt.ended_at;
-    request.deferred_prefill.reset();
+    // A prefill that was still deferred never began, so its end says nothing of the attempts before it.
+    if (std::exchange(request.deferred_prefill, std::nullopt)) return schedule_check(request);
     const bool prefill_done = outcome.result == AttemptResult::prefill_done;
     const bool never_arrived = never_ran(outcome.result) || !attempt.exchange->request_written();
     request.leases.on_attempt_ended(now, never_arrived);
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -246,6 +246,23 @@
     advance(12000);
 }
 
+// Guards against the end of a prefill that never began being taken for proof of the end before it. Found by
+// the soak test.
+TEST_F(PlatformTest, TheEndOfADeferredPrefillProvesNothingOfTheAttemptBeforeIt) {
+    const auto handle = send_request("t1", client);
+    while (!environment.exchanges.front().closed) advance(5);  // the prefill times out
+    ASSERT_EQ(lifecycle.attempts_in_flight(), 1u) << "another prefill is deferred";
+    lifecycle.on_client_disconnected(handle);
+    const std::size_t first = release_calls();
+    answer_release();
+    advance(400);
+    EXPECT_EQ(release_calls(), first + 1) << "the first prefill may still run";
+    answer_release();
+    advance(400);
+    EXPECT_EQ(release_calls(), first + 2);
+    answer_release();
+}
+
 TEST_F(PlatformTest, APrefillWhoseClientLeavesWhileItWaitsIsNeverSent) {
     const auto handle = send_request("t1", client);
     last_exchange().exchange->on_connection_closed();
