--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -250,7 +250,11 @@
 // the soak test.
 TEST_F(PlatformTest, TheEndOfADeferredPrefillProvesNothingOfTheAttemptBeforeIt) {
     const auto handle = send_request("t1", client);
-    while (!environment.exchanges.front().closed) advance(5);  // the prefill times out
+    while (!environment.exchanges.front().closed) {  // the prefill times out
+        advance(5);
+        const bool is_release = last_exchange().request.rfind("DELETE", 0) == 0;
+        if (is_release && !last_exchange().exchange->has_outcome()) answer_release();
+    }
     ASSERT_EQ(lifecycle.attempts_in_flight(), 1u) << "another prefill is deferred";
     lifecycle.on_client_disconnected(handle);
     const std::size_t first = release_calls();
