Review: a slowly written request is taken after SIGTERM and its stream lost

The gateway takes requests up to 1.15 s after SIGTERM and begins streams that SIGKILL cuts.

Nothing outside review/ changes.

--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -126,7 +126,7 @@
 // `events` events, `eventMs` apart, the first one after `firstMs`.
 export class ModelServer {
   constructor(name, role, { site = 'a', block = 1, readMs = 120, firstMs = 60, eventMs = 50, events = 12 } = {}) {
-    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, health: 'up', arrivals: [] });
+    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, health: 'up', arrivals: [], bornMs: 0, dead: false, sockets: new Set() });
   }
   async start() {
     this.server = net.createServer({ allowHalfOpen: true }, (socket) => this.accept(socket));
@@ -135,9 +135,20 @@
   }
   entry(health = this.health) {
     return { host: this.name, dial: `${LOOPBACK}:${this.port}`, site: this.site, class: this.role === 'read' ? 'prefill' : 'decode',
-      block: this.block, health, share: 1.0, born_ms: 0 };
+      block: this.block, health, share: 1.0, born_ms: this.bornMs };
+  }
+  // Starts anew under the same name, or for the first time during a run: a cold server.
+  markStarted() { this.bornMs = Math.round(Date.now()); }
+  // The process dies: its connections are reset and new ones are refused.
+  kill() {
+    record('server-dies', { server: this.name });
+    this.dead = true;
+    this.server.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
   }
   accept(socket) {
+    this.sockets.add(socket);
+    socket.on('close', () => this.sockets.delete(socket));
     let request = null;
     let firstByteAt = -1;
     const reader = new MessageReader({
@@ -194,10 +205,10 @@
 }
 
 // ---- discovery ----
-// The agent on the gateway's machine: answers a plain call with the whole list, and a watch when something newer than
-// `from` exists or its wait is over. `delayMs`: how much later each answer is written.
+// The agent on the gateway's machine: answers a plain call with the whole list, and a watch with the changed entries when
+// something newer than `from` exists or its wait is over. `delayMs`: how much later each answer is written.
 export class Discovery {
-  constructor(servers, { delayMs = 0 } = {}) { Object.assign(this, { servers, delayMs, seq: 41, watches: new Set() }); }
+  constructor(servers, { delayMs = 0 } = {}) { Object.assign(this, { servers, delayMs, seq: 41, watches: new Set(), changes: [] }); }
   async start() {
     this.server = net.createServer((socket) => this.accept(socket));
     this.port = await listen(this.server);
@@ -213,7 +224,7 @@
   onCall(socket, target) {
     record('discovery-call', { target });
     const query = new URL(target, 'http://x').searchParams;
-    if (query.get('from') === null) return this.answer(socket);
+    if (query.get('from') === null) return this.answer(socket, null);
     const watch = { from: Number(query.get('from')), socket };
     this.watches.add(watch);
     watch.timer = setTimeout(() => this.endWatch(watch), Number(query.get('hold_ms') ?? 0));
@@ -222,20 +233,29 @@
   endWatch(watch) {
     if (!this.watches.delete(watch)) return;
     clearTimeout(watch.timer);
-    this.answer(watch.socket);
+    this.answer(watch.socket, watch.from);
   }
-  answer(socket) {
+  // Answers with the changes after version `from`; null: with the whole list.
+  answer(socket, from) {
     setTimeout(() => {
       if (socket.destroyed) return;
-      const body = JSON.stringify({ seq: this.seq, whole: true, hosts: this.servers.map((server) => server.entry()) });
-      record('discovery-answer', { seq: this.seq });
+      const whole = from === null;
+      const hosts = whole ? this.servers.filter((server) => server.health !== 'removed').map((server) => server.entry())
+        : this.changes.filter((change) => change.seq > from).map((change) => change.entry);
+      const body = JSON.stringify({ seq: this.seq, whole, hosts });
+      record('discovery-answer', { seq: this.seq, whole, hosts: whole ? hosts.length : hosts });
       socket.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
     }, this.delayMs);
   }
+  formEntry(server) { return server.entry(); }
   // Tells a change: the new health of some servers.
   update(health) {
-    for (const [server, value] of health) server.health = value;
     ++this.seq;
+    for (const [server, value] of health) {
+      server.health = value;
+      if (!this.servers.includes(server)) this.servers.push(server);
+      this.changes.push({ seq: this.seq, entry: this.formEntry(server) });
+    }
     record('discovery-change', { seq: this.seq, health: health.map(([server, value]) => [server.name, value]) });
     for (const watch of [...this.watches]) this.endWatch(watch);
   }
@@ -308,9 +328,9 @@
 }
 
 // The settings of a small deployment, in the form and with the names of the simulator's first message.
-export function smallDeployment() {
+export function smallDeployment({ effect = 'repeatable' } = {}) {
   const lane = (Name, SloMs, DeadlineMs, Importance) =>
-    ({ Name, SloMs, DeadlineMs, Importance, LateShare: 0.3, Effect: 'repeatable', Group: 'all', Streaming: true, WindowMs: 5000 });
+    ({ Name, SloMs, DeadlineMs, Importance, LateShare: 0.3, Effect: effect, Group: 'all', Streaming: true, WindowMs: 5000 });
   return { Azs: ['a'], Zone: 'a', Balancers: 1, Me: 0, Flavors: ['prefill', 'decode'], Discovery: 'push', Weights: 'rough', ServiceType: 'twostage',
     StepMs: 4, ValueBy: 'work', OverShareWorth: 0.05,
     FamilyInfo: { RoleByKind: ['read', 'write'], KindMemoryTokens: [252552, 133750], LetGoByMs: 1000, LocalRead: false, Resume: true, Ahead: true,
@@ -364,6 +384,22 @@
     this.open.push(...requests);
     return Promise.all(done);
   }
+  // Sends a request in `pieces` pieces over `durationMs`; resolves as send() does.
+  async sendSlowly(request, pieces, durationMs) {
+    const done = new Promise((resolve) => { request.resolve = resolve; });
+    this.open.push(request);
+    const size = Math.ceil(request.bytes.length / pieces);
+    const begunAt = now();
+    for (let piece = 0; piece < pieces && !this.ended; ++piece) {
+      if (piece > 0) await sleep(Math.max(0, begunAt + (piece * durationMs) / (pieces - 1) - now()));
+      this.socket.write(request.bytes.slice(piece * size, (piece + 1) * size), 'latin1');
+    }
+    if (!this.ended) {
+      request.sentAt = now();
+      record('sent', { txn: request.txn, bytes: request.bytes.length, remaining: request.remainingMs, overMs: durationMs });
+    }
+    return done;
+  }
   close1(end) {
     const request = this.open.shift();
     if (!request) return;
