Review: a stream that keeps on coming is paused for good and its client left waiting

Case 3: spoilt answers that never end. The gateway pauses reading from the model server and never resumes it; the client's connection stays open without a byte or an end.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,67 +1,67 @@
-// Clients that send three requests at once on a connection, each with a prompt of ordinary length. Is the request that
-// the gateway has forwarded answered before the gateway ends its connection?
+// Spoilt answers that never end: after some good events, chunks of a stream keep on coming as fast as they are taken.
+// Is the client's connection ended, or does it at least go on getting what comes?
 //
-// TROUBLE=0: the same requests on the same connections, each sent when the one before has been answered.
+// TROUBLE=0: the same streams end after their good events.
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { ClientConnection, Discovery, Gateway, ModelServer, finish, makeRequest, openRecord, sleep, trouble } from '../standins.mjs';
+import { ClientConnection, Discovery, Gateway, ModelServer, finish, makeRequest, now, openRecord, record, sleep, trouble } from '../standins.mjs';
 
-const CONNECTIONS = 30;
-const INTERVAL_MS = 500;  // from one connection to the next
-const REQUESTS_AT_ONCE = 3;
-const PROMPT_TOKENS = 1800;  // 7,200 characters: a short prefix and a short turn of the site file
+const REQUESTS = 40;
+const INTERVAL_MS = 250;
+const SPOILT_EVERY = 5;  // one request in five meets a spoilt answer
+const WAIT_MS = 5000;  // a client may not be left waiting for longer after the last event of a running model server
+const SLACK_MS = 50;  // every time limit is 50 ms longer
+const OBSERVED_MS = 20000;  // after the last request
 
 openRecord(path.join(path.dirname(fileURLToPath(import.meta.url)), 'record.txt'));
 
+// A writer whose answer to some requests never ends.
+class Writer extends ModelServer {
+  streamEvents(socket, txn) {
+    if (!trouble || !/^spoilt/.test(txn)) return super.streamEvents(socket, txn);
+    const chunk = (event) => `${event.length.toString(16)}\r\n${event}\r\n`;
+    socket.write('HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n');
+    socket.write(chunk(`data: {"choices":[{"index":0,"delta":{"content":"${txn}"}}]}\n\n`));
+    const block = chunk(`data: ${'x'.repeat(1000)}\n\n`).repeat(100);
+    const keepOnComing = () => {
+      while (!socket.destroyed && socket.write(block, 'latin1')) ;
+      if (!socket.destroyed) socket.once('drain', keepOnComing);
+    };
+    record('spoilt-stream-begins', { server: this.name, txn });
+    socket.on('close', () => record('spoilt-stream-closed-by-gateway', { server: this.name, txn }));
+    setTimeout(keepOnComing, 100);
+  }
+}
+
 const servers = [];
-for (const [role, letter] of [['read', 'r'], ['write', 'w']])
-  for (let index = 0; index < 4; ++index) servers.push(await new ModelServer(`s-${letter}${index}`, role).start());
-const discovery = await new Discovery(servers).start();
+for (let index = 0; index < 4; ++index) servers.push(await new ModelServer(`s-r${index}`, 'read').start());
+for (let index = 0; index < 4; ++index) servers.push(await new Writer(`s-w${index}`, 'write').start());
+const discovery = await new Discovery([...servers]).start();
 const known = { seq: 40, whole: true, hosts: servers.map((server) => server.entry()) };
 const gateway = await new Gateway().start({ discoveryPort: discovery.port, known });
 await gateway.ready();
 
-const wasForwarded = (txn) => servers.some((server) => server.arrivals.some((arrival) => arrival.txn === txn));
-const broken = [];
-let checked = 0;
-let answered = 0;
-
-// A request whose connection ended before it was read is sent once more on a new connection, as the page says.
-async function sendOnceMore(request) {
-  const connection = new ClientConnection(gateway.port);
-  await connection.connected;
-  const [again] = await connection.send([makeRequest(`${request.txn}`, { promptTokens: PROMPT_TOKENS })]);
-  connection.close();
-  return again;
-}
-
-async function runClient(number) {
+const clients = [];
+for (let number = 0; number < REQUESTS; ++number) {
   const connection = new ClientConnection(gateway.port);
   await connection.connected;
-  const requests = Array.from({ length: REQUESTS_AT_ONCE }, (_, index) => makeRequest(`c${number}-${index}`, { promptTokens: PROMPT_TOKENS }));
-  if (trouble) {
-    await connection.send(requests);
-  } else {
-    for (const request of requests) await connection.send([request]);
-  }
-  for (const request of requests) {
-    ++checked;
-    if (request.end === 'answered') { ++answered; continue; }
-    if (wasForwarded(request.txn)) {
-      broken.push(`${request.txn} was sent to a model server, then its connection was ended without an answer (${request.end}) ` +
-        `${Math.round(request.endedAt - request.sentAt)} ms after its last byte; the client had not left`);
-      continue;
-    }
-    const again = await sendOnceMore(request);
-    if (again.end === 'answered') ++answered;
-  }
-  connection.close();
+  const request = makeRequest(number % SPOILT_EVERY === 0 ? `spoilt${number}` : `good${number}`);
+  const client = { connection, request, lastByteAt: now(), bytes: 0 };
+  connection.socket.on('data', (bytes) => { client.lastByteAt = now(); client.bytes += bytes.length; });
+  connection.send([request]);
+  clients.push(client);
+  await sleep(INTERVAL_MS);
 }
+await sleep(OBSERVED_MS);
 
-const clients = [];
-for (let number = 0; number < CONNECTIONS; ++number) {
-  clients.push(runClient(number));
-  await sleep(INTERVAL_MS);
+const broken = [];
+const counts = { whole: 0, otherAnswers: 0, ended: 0, stillComing: 0 };
+for (const { connection, request, lastByteAt, bytes } of clients) {
+  const waiting = now() - lastByteAt;
+  if (request.end === 'answered') ++counts[request.status === 200 ? 'whole' : 'otherAnswers'];
+  else if (connection.ended) ++counts.ended;
+  else if (waiting <= WAIT_MS + SLACK_MS) ++counts.stillComing;
+  else broken.push(`${request.txn}: its client got ${bytes} bytes, then none for ${Math.round(waiting)} ms; its connection is still open and its model server still writes`);
 }
-await Promise.all(clients);
-await finish([gateway], { checked, broken, text: `${checked} requests, ${answered} answered, ${broken.length} forwarded and then lost` });
+for (const { connection } of clients) connection.close();
+await finish([gateway], { checked: clients.length, broken, text: `${clients.length} requests: ${JSON.stringify(counts)}, ${broken.length} left waiting` });
