Review: a request hidden in another's body is passed on to model servers

Case 1: a bad client's head has a space before the colon of Transfer-Encoding. The gateway decodes the chunks, passes the field on beside its own content-length, and a model server finds a second request in the body that no client sent.

--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -52,8 +52,9 @@
 }
 
 // ---- HTTP/1.1 messages ----
-// Reads consecutive messages that have a Content-Length, a chunked body or none. `onHead`, `onData` and `onEnd` are
-// called as the bytes come; a stream of events is passed on piece by piece.
+// Reads consecutive messages that have a Content-Length, a chunked body or none. Where a message has both lengths, the
+// chunks count (RFC 9112, 6.3); space around a field name is skipped. `onHead`, `onData` and `onEnd` are called as the
+// bytes come; a stream of events is passed on piece by piece.
 class MessageReader {
   constructor({ onHead = () => {}, onData = () => {}, onEnd = () => {} }) {
     Object.assign(this, { onHead, onData, onEnd, buffer: '', state: 'head', left: 0 });
@@ -79,7 +80,7 @@
     const headers = {};
     for (const line of lines) {
       const colon = line.indexOf(':');
-      headers[line.slice(0, colon).toLowerCase()] = line.slice(colon + 1).trim();
+      headers[line.slice(0, colon).trim().toLowerCase()] = line.slice(colon + 1).trim();
     }
     this.buffer = this.buffer.slice(end + 4);
     this.onHead(startLine, headers);
@@ -120,13 +121,14 @@
 }
 
 // ---- model servers ----
-const heldStates = new Map();  // id of a request -> names of the readers that hold its state
+const heldStates = new Map();  // id of a request -> name of the reader that holds its state
+const sentByClients = new Set();  // ids of the requests that a client of this run has sent
 
 // A model server. A reader answers 202 after `readMs` and holds the state; a writer takes the state and streams
 // `events` events, `eventMs` apart, the first one after `firstMs`.
 export class ModelServer {
   constructor(name, role, { site = 'a', block = 1, readMs = 120, firstMs = 60, eventMs = 50, events = 12 } = {}) {
-    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, health: 'up', arrivals: [], bornMs: 0, dead: false, sockets: new Set() });
+    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, health: 'up', arrivals: [], unknown: [], bornMs: 0, dead: false, sockets: new Set() });
   }
   async start() {
     this.server = net.createServer({ allowHalfOpen: true }, (socket) => this.accept(socket));
@@ -171,6 +173,8 @@
       return socket.write('HTTP/1.1 204 No Content\r\n\r\n');
     }
     const txn = headers['x-txn'];
+    if (!sentByClients.has(txn)) return this.rejectUnknown(socket, startLine, txn);
+    if (headers['content-length'] !== undefined && headers['transfer-encoding'] !== undefined) record('both-lengths', { server: this.name, txn });
     this.arrivals.push({ txn, firstByteAt, at: now() });
     record('attempt', { server: this.name, role: this.role, listed: this.health, txn, bodyBytes: length, told: headers['x-remaining'] });
     if (this.role === 'read') return void setTimeout(() => this.sendReadDone(socket, txn), this.readMs);
@@ -180,6 +184,12 @@
     }
     setTimeout(() => this.streamEvents(socket, txn), this.firstMs);
   }
+  // A request whose id no client has sent: recorded, and answered with 400.
+  rejectUnknown(socket, startLine, txn) {
+    this.unknown.push(txn);
+    record('work-that-nobody-sent', { server: this.name, startLine, txn });
+    socket.end('HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\nconnection: close\r\n\r\n');
+  }
   sendReadDone(socket, txn) {
     if (socket.destroyed) return;
     heldStates.set(txn, this.name);
@@ -345,6 +355,7 @@
 // ---- clients ----
 // A request of the form in PROTOCOL.md, with a body of four characters a prompt token.
 export function makeRequest(txn, { promptTokens = 1800, remainingMs = 6000, lane = 'order-help' } = {}) {
+  sentByClients.add(txn);
   const frame = (content) => `{"model":"chat","stream":true,"max_tokens":200,"messages":[{"role":"user","content":"${content}"}]}`;
   const body = frame('x'.repeat(Math.max(0, 4 * promptTokens - frame('').length)));
   const head = `POST /v1/chat/completions HTTP/1.1\r\nHost: service.internal\r\nX-Txn: ${txn}\r\nX-Lane: ${lane}\r\nX-Org: home-delivery\r\n` +
