--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -42,7 +42,7 @@
 const servers = [];
 for (let index = 0; index < 4; ++index) servers.push(await new ModelServer(`s-r${index}`, 'read').start());
 for (let index = 0; index < 4; ++index) servers.push(await new Writer(`s-w${index}`, 'write').start());
-const discovery = await new Discovery([...servers]).start();
+const discovery = await new Discovery(servers).start();
 const known = { seq: 40, whole: true, hosts: servers.map((server) => server.entry()) };
 const gateway = await new Gateway().start({ discoveryPort: discovery.port, known });
 await gateway.ready();
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -20,7 +20,7 @@
 const servers = [];
 for (const [role, letter] of [['read', 'r'], ['write', 'w']])
   for (let index = 0; index < 4; ++index) servers.push(await new ModelServer(`s-${letter}${index}`, role, { events: TOKENS, eventMs: 50 }).start());
-const discovery = await new Discovery([...servers]).start();
+const discovery = await new Discovery(servers).start();
 const known = { seq: 40, whole: true, hosts: servers.map((server) => server.entry()) };
 const settings = smallDeployment();
 settings.FamilyInfo.Resume = false;
--- a/review/standins.mjs
+++ b/review/standins.mjs
@@ -128,29 +128,18 @@
 // `events` events, `eventMs` apart, the first one after `firstMs`.
 export class ModelServer {
   constructor(name, role, { site = 'a', block = 1, readMs = 120, firstMs = 60, eventMs = 50, events = 12 } = {}) {
-    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, health: 'up', arrivals: [], unknown: [], bornMs: 0, dead: false, sockets: new Set() });
+    Object.assign(this, { name, role, site, block, readMs, firstMs, eventMs, events, arrivals: [], unknown: [] });
   }
   async start() {
     this.server = net.createServer({ allowHalfOpen: true }, (socket) => this.accept(socket));
     this.port = await listen(this.server);
     return this;
   }
-  entry(health = this.health) {
+  entry() {
     return { host: this.name, dial: `${LOOPBACK}:${this.port}`, site: this.site, class: this.role === 'read' ? 'prefill' : 'decode',
-      block: this.block, health, share: 1.0, born_ms: this.bornMs };
-  }
-  // Starts anew under the same name, or for the first time during a run: a cold server.
-  markStarted() { this.bornMs = Math.round(Date.now()); }
-  // The process dies: its connections are reset and new ones are refused.
-  kill() {
-    record('server-dies', { server: this.name });
-    this.dead = true;
-    this.server.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
+      block: this.block, health: 'up', share: 1.0, born_ms: 0 };
   }
   accept(socket) {
-    this.sockets.add(socket);
-    socket.on('close', () => this.sockets.delete(socket));
     let request = null;
     let firstByteAt = -1;
     const reader = new MessageReader({
@@ -176,7 +165,7 @@
     if (!sentByClients.has(txn)) return this.rejectUnknown(socket, startLine, txn);
     if (headers['content-length'] !== undefined && headers['transfer-encoding'] !== undefined) record('both-lengths', { server: this.name, txn });
     this.arrivals.push({ txn, firstByteAt, at: now() });
-    record('attempt', { server: this.name, role: this.role, listed: this.health, txn, bodyBytes: length, told: headers['x-remaining'] });
+    record('attempt', { server: this.name, role: this.role, txn, bodyBytes: length, told: headers['x-remaining'] });
     if (this.role === 'read') return void setTimeout(() => this.sendReadDone(socket, txn), this.readMs);
     if (!heldStates.delete(txn)) {
       record('no-state', { server: this.name, txn });
@@ -215,10 +204,10 @@
 }
 
 // ---- discovery ----
-// The agent on the gateway's machine: answers a plain call with the whole list, and a watch with the changed entries when
-// something newer than `from` exists or its wait is over. `delayMs`: how much later each answer is written.
+// The agent on the gateway's machine: answers a plain call with the whole list, and a watch, when its wait is over, with
+// no changes, as the list never changes here.
 export class Discovery {
-  constructor(servers, { delayMs = 0 } = {}) { Object.assign(this, { servers, delayMs, seq: 41, watches: new Set(), changes: [] }); }
+  constructor(servers) { this.servers = servers; }
   async start() {
     this.server = net.createServer((socket) => this.accept(socket));
     this.port = await listen(this.server);
@@ -229,45 +218,16 @@
     const reader = new MessageReader({ onHead: (startLine) => this.onCall(socket, startLine.split(' ')[1]) });
     socket.on('data', (bytes) => reader.feed(bytes));
     socket.on('error', () => {});
-    socket.on('close', () => record('discovery-connection-closed', { by: socket.closedByUs ? 'agent' : 'gateway' }));
   }
   onCall(socket, target) {
-    record('discovery-call', { target });
     const query = new URL(target, 'http://x').searchParams;
-    if (query.get('from') === null) return this.answer(socket, null);
-    const watch = { from: Number(query.get('from')), socket };
-    this.watches.add(watch);
-    watch.timer = setTimeout(() => this.endWatch(watch), Number(query.get('hold_ms') ?? 0));
-    if (this.seq > watch.from) this.endWatch(watch);
-  }
-  endWatch(watch) {
-    if (!this.watches.delete(watch)) return;
-    clearTimeout(watch.timer);
-    this.answer(watch.socket, watch.from);
-  }
-  // Answers with the changes after version `from`; null: with the whole list.
-  answer(socket, from) {
-    setTimeout(() => {
-      if (socket.destroyed) return;
-      const whole = from === null;
-      const hosts = whole ? this.servers.filter((server) => server.health !== 'removed').map((server) => server.entry())
-        : this.changes.filter((change) => change.seq > from).map((change) => change.entry);
-      const body = JSON.stringify({ seq: this.seq, whole, hosts });
-      record('discovery-answer', { seq: this.seq, whole, hosts: whole ? hosts.length : hosts });
-      socket.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
-    }, this.delayMs);
-  }
-  formEntry(server) { return server.entry(); }
-  // Tells a change: the new health of some servers.
-  update(health) {
-    ++this.seq;
-    for (const [server, value] of health) {
-      server.health = value;
-      if (!this.servers.includes(server)) this.servers.push(server);
-      this.changes.push({ seq: this.seq, entry: this.formEntry(server) });
-    }
-    record('discovery-change', { seq: this.seq, health: health.map(([server, value]) => [server.name, value]) });
-    for (const watch of [...this.watches]) this.endWatch(watch);
+    if (query.get('from') === null) return this.answer(socket, true);
+    setTimeout(() => this.answer(socket, false), Number(query.get('hold_ms') ?? 0));
+  }
+  answer(socket, whole) {
+    if (socket.destroyed) return;
+    const body = JSON.stringify({ seq: 41, whole, hosts: whole ? this.servers.map((server) => server.entry()) : [] });
+    socket.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
   }
 }
 
