--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -134,6 +134,8 @@
     bool fresh() const { return fresh_; }
     // When it was opened, completed its last answer, or was last active while ending.
     Millis last_activity() const { return last_activity_; }
+    // Bytes of answers that have not been handed to the kernel.
+    std::size_t unsent_bytes() const { return stream_ ? stream_->queued() + output_.size() : 0; }
     // Bytes were received that nobody has read from the socket.
     bool has_unread_input() const { return stream_->has_unread_input(); }
     // Bytes were read behind the open request and are not parsed yet.
--- a/src/platform/client_connections.cpp
+++ b/src/platform/client_connections.cpp
@@ -1,5 +1,7 @@
 #include "platform/client_connections.h"
 
+#include <functional>
+#include <numeric>
 #include <utility>
 
 #include "net/clock.h"
@@ -45,6 +47,11 @@
     }
 }
 
+std::size_t ClientConnections::unsent_bytes() const {
+    return std::transform_reduce(connections_.begin(), connections_.end(), std::size_t{0}, std::plus<>(),
+                                 [](const auto& connection) { return connection->unsent_bytes(); });
+}
+
 // ---- new connections ------------------------------------------------------------------------------------
 
 void ClientConnections::on_accepted(std::unique_ptr<net::TcpStream> stream) {
--- a/src/platform/client_connections.h
+++ b/src/platform/client_connections.h
@@ -49,6 +49,8 @@
     void stop_accepting();
     bool listening() const { return listener_ != nullptr; }
     std::size_t connections() const { return connections_.size(); }
+    // Bytes of answers to all clients that have not been handed to the kernel.
+    std::size_t unsent_bytes() const;
     const Counters& counters() const { return group_.counters; }
 
 private:
--- a/src/platform/request_lifecycle.h
+++ b/src/platform/request_lifecycle.h
@@ -81,6 +81,7 @@
     // ---- status ----
     std::size_t open_requests() const { return context_.requests.size(); }
     std::size_t releases_in_progress() const { return lease_keeper_.releases_in_progress(); }
+    std::size_t paused_streams() const { return streams_.paused_streams(); }
     std::size_t attempts_in_flight() const { return context_.attempts_in_flight; }
     const Counters& counters() const { return context_.counters; }
     const LeaseReleaser::Counts& release_counts() const { return lease_keeper_.release_counts(); }
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -80,6 +80,8 @@
     fields["upstream_connections"] = sources_.connection_pool.connections();
     fields["open_requests"] = lifecycle.open_requests();
     fields["attempts_in_flight"] = lifecycle.attempts_in_flight();
+    fields["paused_streams"] = lifecycle.paused_streams();
+    fields["unsent_bytes"] = sources_.client_connections.unsent_bytes();
     fields["releases_in_progress"] = lifecycle.releases_in_progress();
 }
 
@@ -94,6 +96,8 @@
     fields["client_disconnected"] = counters.client_disconnected;
     fields["migrated"] = counters.migrated;
     fields["attempts"] = counters.attempts;
+    fields["stream_pauses"] = counters.stream_pauses;
+    fields["stream_resumes"] = counters.stream_resumes;
     // `results` counts attempts; `outcomes` counts requests.
     fields["results"] = results_by_name(counters);
     fields["outcomes"] = counts_by_name(kOutcomeNames, lifecycle.access_log().outcomes());
--- a/src/platform/stream_forwarder.cpp
+++ b/src/platform/stream_forwarder.cpp
@@ -15,6 +15,7 @@
 constexpr Millis kMaxStallWhileStopping = 1000;
 
 bool is_open_stream(const RequestState& request) { return !request.closed && request.stream_begun(); }
+bool is_paused_stream(const RequestState& request) { return request.congested && request.stream_in_flight(); }
 
 }  // namespace
 
@@ -83,6 +84,7 @@
     if (!request->stream_in_flight()) return;
     AttemptState& attempt = request->attempts.back();
     attempt.last_event_at = context_.environment.now();
+    ++(congested ? context_.counters.stream_pauses : context_.counters.stream_resumes);
     context_.environment.pause(*attempt.exchange, congested);
 }
 
@@ -96,10 +98,14 @@
     cancel_stream(request);
 }
 
-std::size_t StreamForwarder::open_streams() const {
+std::size_t StreamForwarder::open_streams() const { return count_requests(is_open_stream); }
+
+std::size_t StreamForwarder::paused_streams() const { return count_requests(is_paused_stream); }
+
+std::size_t StreamForwarder::count_requests(bool (*matches)(const RequestState&)) const {
     const auto& requests = context_.requests.all();
     return static_cast<std::size_t>(std::count_if(
-        requests.begin(), requests.end(), [](const auto& entry) { return is_open_stream(entry.second); }));
+        requests.begin(), requests.end(), [matches](const auto& entry) { return matches(entry.second); }));
 }
 
 void StreamForwarder::migrate_latest(std::size_t count) {
--- a/src/platform/stream_forwarder.h
+++ b/src/platform/stream_forwarder.h
@@ -36,6 +36,9 @@
     // Aborts the stream towards its client, which then repeats the request, and cancels its attempt.
     void migrate(RequestState& request);
 
+    // Streams whose endpoint is not being read now.
+    std::size_t paused_streams() const;
+
     // ---- while the process is stopping ----
     // Streams that have begun and not ended.
     std::size_t open_streams() const;
@@ -45,6 +48,7 @@
     void end_stalled(Millis arrived_since);
 
 private:
+    std::size_t count_requests(bool (*matches)(const RequestState&)) const;
     void set_idle_timer(RequestState& request, int attempt_index, Millis last_event_at);
 
     LifecycleContext& context_;
