Streams paused by a burst are resumed when the kernel takes the burst at once

Cause: ClientConnection paused the server's connection when over 256 KiB of output were waiting, most of it for the flush at the end of the loop's turn. Only TcpStream::on_drain resumed it, which follows a write that was queued. The kernel often takes the whole flush at once; then nothing is queued and on_drain never comes. The flag also stayed set after the request, so that the next answer on the connection was never paused.

Change: StreamForwarder::update_pause alone pauses and resumes, by one condition (Client::is_congested: the bytes not handed to the kernel), asked anew after each event, each flush and each finished write. While it holds, a flush is scheduled or a write queued, so the next question is certain. No flag is kept in the connection any more.

Tests: BackPressureTest, real sockets.

--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -24,6 +24,9 @@
     virtual void abort_stream() = 0;
     // An answer without a stream. `retry_after`: ms; 0: none is sent.
     virtual void send_final(int status, Millis retry_after, std::string_view text) = 0;
+    // So much of the answer is waiting to be sent that its endpoint must not be read. Whenever that may have
+    // changed, RequestLifecycle::on_client_output_sent is called or the connection ends.
+    virtual bool is_congested() const { return false; }
     // The client has closed its connection, even if its FIN has not been read yet.
     virtual bool has_disconnected() { return false; }
 };
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -213,11 +213,12 @@
     if (state_ == State::gone) return;
     http::append_chunk(output_, events);
     send({});
-    if (congested_ || stream_->queued() + output_.size() <= kCongestedBytes) return;
-    congested_ = true;
-    group_.lifecycle.on_client_congested(handle_, true);
 }
 
+// While this holds, a flush is scheduled or a write is queued, so on_output_sent() or the end of the
+// connection is certain to follow.
+bool ClientConnection::is_congested() const { return unsent_bytes() > kCongestedBytes; }
+
 void ClientConnection::finish_stream() {
     send(http::kLastChunk);
     handle_ = 0;
@@ -254,15 +255,22 @@
     owner_.schedule_flush(*this);
 }
 
+// The kernel may take all of the output at once: then no write is queued, and on_drain() is not called for
+// it.
 void ClientConnection::flush() {
-    if (!output_.empty()) stream_->write(std::exchange(output_, std::string()));
+    if (output_.empty()) return;
+    stream_->write(std::exchange(output_, std::string()));
+    on_output_sent();
 }
 
 void ClientConnection::on_drain() {
     if (state_ == State::gone) return;
     if (state_ == State::ending) last_activity_ = net::now();
-    if (!std::exchange(congested_, false)) return;
-    if (handle_ != 0) group_.lifecycle.on_client_congested(handle_, false);
+    on_output_sent();
+}
+
+void ClientConnection::on_output_sent() {
+    if (handle_ != 0) group_.lifecycle.on_client_output_sent(handle_);
 }
 
 // ---- end ------------------------------------------------------------------------------------------------
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -147,6 +147,7 @@
     void finish_stream() override;
     void abort_stream() override;
     void send_final(int status, Millis retry_after, std::string_view text) override;
+    bool is_congested() const override;
     bool has_disconnected() override { return stream_->peer_closed(); }
 
     // For the owner: its place in the owner's list, and whether a flush is scheduled.
@@ -158,6 +159,7 @@
 
     void on_data(std::string_view bytes);
     void on_drain();
+    void on_output_sent();
     void on_closed_by_peer();
     void buffer_pipelined(std::string_view bytes);
     void read(std::string_view bytes);
@@ -192,7 +194,6 @@
     Millis last_activity_ = 0;
     std::optional<Millis> request_began_at_;  // when the first byte of the request being read was received
     bool fresh_ = true;
-    bool congested_ = false;  // the client reads more slowly than its answer arrives
 };
 
 }  // namespace gorsenotch::platform
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -29,7 +29,7 @@
     std::uint64_t attempts = 0;
     std::uint64_t stream_pauses = 0;   // an endpoint is not read because the client lags behind
     std::uint64_t stream_resumes = 0;  // it is read again
-    std::uint64_t results[9] = {};  // by AttemptResult
+    std::uint64_t results[9] = {};     // by AttemptResult
     std::array<std::uint64_t, control::kSendBlockReasonNames.size()> send_blocks{};
     // Releases by how they ended and by why they were started.
     std::array<std::uint64_t, kReleaseEnds.size()> release_ends{};
--- a/src/platform/request_lifecycle.h
+++ b/src/platform/request_lifecycle.h
@@ -50,10 +50,8 @@
     std::uint64_t on_request(Inbound inbound, Millis age, Client* client);
     // The client of the request has closed its connection.
     void on_client_disconnected(std::uint64_t handle);
-    // The client of the request has stopped, or resumed, reading its stream fast enough.
-    void on_client_congested(std::uint64_t handle, bool congested) {
-        streams_.on_client_congested(handle, congested);
-    }
+    // Output was handed to the kernel for the client of the request.
+    void on_client_output_sent(std::uint64_t handle) { streams_.on_client_output_sent(handle); }
 
     // To be called after EndpointList has applied the update, or to report that discovery has failed.
     void on_endpoint_update(EndpointUpdate update);
--- a/src/platform/request_state.h
+++ b/src/platform/request_state.h
@@ -94,7 +94,7 @@
     std::optional<Millis> stream_begun_at;
     double completion_tokens = 0;          // of the answer; 0: not given
     bool closed = false;                   // the client has its final answer, or has disconnected
-    bool congested = false;                // the client reads more slowly than its stream arrives
+    bool paused = false;                   // its endpoint is not read, as the client lags behind
     control::LeaseLedger leases;           // on what endpoints may hold for it
     std::optional<Millis> lease_check_at;  // when the earliest lease timer fires
     std::optional<DeferredPrefill> deferred_prefill;
--- a/src/platform/stream_forwarder.cpp
+++ b/src/platform/stream_forwarder.cpp
@@ -15,7 +15,7 @@
 constexpr Millis kMaxStallWhileStopping = 1000;
 
 bool is_open_stream(const RequestState& request) { return !request.closed && request.stream_begun(); }
-bool is_paused_stream(const RequestState& request) { return request.congested && request.stream_in_flight(); }
+bool is_paused_stream(const RequestState& request) { return request.paused && request.stream_in_flight(); }
 
 }  // namespace
 
@@ -60,6 +60,7 @@
     attempt->last_event_at = context_.environment.now();
     if (const double tokens = completion_tokens(events); tokens > 0) request->completion_tokens = tokens;
     if (request->client) request->client->send_events(events);
+    update_pause(*request);
 }
 
 void StreamForwarder::set_idle_timer(RequestState& request, int attempt_index, Millis last_event_at) {
@@ -71,21 +72,28 @@
 void StreamForwarder::on_idle_timer(RequestState& request, int attempt_index) {
     AttemptState& attempt = *request.find_attempt(attempt_index);
     const Millis now = context_.environment.now();
-    if (request.congested) attempt.last_event_at = now;
+    if (request.paused) attempt.last_event_at = now;
     if (attempt.last_event_at + kStreamIdleTimeout > now)
         return set_idle_timer(request, attempt_index, attempt.last_event_at);
     abort_attempt(context_.environment, attempt, AttemptResult::reset);
 }
 
-void StreamForwarder::on_client_congested(std::uint64_t handle, bool congested) {
+void StreamForwarder::on_client_output_sent(std::uint64_t handle) {
     RequestState* request = context_.requests.find(handle);
-    if (!request || request->congested == congested) return;
-    request->congested = congested;
-    if (!request->stream_in_flight()) return;
-    AttemptState& attempt = request->attempts.back();
+    if (request) update_pause(*request);
+}
+
+// The only place that pauses or resumes a stream. Has to be called whenever the client's output or the state
+// of the stream has changed.
+void StreamForwarder::update_pause(RequestState& request) {
+    if (!request.stream_in_flight()) return;
+    const bool paused = request.client && request.client->is_congested();
+    if (request.paused == paused) return;
+    request.paused = paused;
+    AttemptState& attempt = request.attempts.back();
     attempt.last_event_at = context_.environment.now();
-    ++(congested ? context_.counters.stream_pauses : context_.counters.stream_resumes);
-    context_.environment.pause(*attempt.exchange, congested);
+    ++(paused ? context_.counters.stream_pauses : context_.counters.stream_resumes);
+    context_.environment.pause(*attempt.exchange, paused);
 }
 
 void StreamForwarder::cancel_stream(const RequestState& request) {
@@ -125,7 +133,7 @@
     const Millis now = context_.environment.now();
     std::vector<std::uint64_t> handles;
     for (const auto& [handle, request] : context_.requests.all()) {
-        if (!is_open_stream(request) || request.congested || request.arrived < arrived_since) continue;
+        if (!is_open_stream(request) || request.paused || request.arrived < arrived_since) continue;
         const AttemptState& attempt = request.attempts.back();
         if (attempt.in_flight() && now - attempt.last_event_at >= kMaxStallWhileStopping)
             handles.push_back(handle);
--- a/src/platform/stream_forwarder.h
+++ b/src/platform/stream_forwarder.h
@@ -13,7 +13,7 @@
 
 namespace gorsenotch::platform {
 
-// Ownership: no state of its own; it may change RequestState::congested, stream_begun_at and
+// Ownership: no state of its own; it may change RequestState::paused, stream_begun_at and
 // completion_tokens, and the phase and last_event_at of the attempt whose stream has begun. Errors: if an
 // endpoint sends nothing for kStreamIdleTimeout, its attempt ends as reset. Times: ms. Threading: one thread.
 class StreamForwarder {
@@ -29,8 +29,9 @@
 
     // The timer `TimerKind::stream_idle` of an attempt in flight has fired.
     void on_idle_timer(RequestState& request, int attempt_index);
-    // Pauses or resumes reading from the endpoint. The idle timeout does not run while paused.
-    void on_client_congested(std::uint64_t handle, bool congested);
+    // Output was handed to the kernel for the client of the request. The endpoint is not read while
+    // Client::is_congested(); its idle timeout does not run meanwhile.
+    void on_client_output_sent(std::uint64_t handle);
     // Cancels the attempt of a stream whose client has disconnected.
     void cancel_stream(const RequestState& request);
     // Aborts the stream towards its client, which then repeats the request, and cancels its attempt.
@@ -49,6 +50,7 @@
 
 private:
     std::size_t count_requests(bool (*matches)(const RequestState&)) const;
+    void update_pause(RequestState& request);
     void set_idle_timer(RequestState& request, int attempt_index, Millis last_event_at);
 
     LifecycleContext& context_;
--- /dev/null
+++ b/tests/platform/back_pressure_test.cpp
@@ -0,0 +1,104 @@
+// Back-pressure: an endpoint is not read while its client lags behind, and is read again afterwards.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
+#include "platform/client_connections_fixture.h"
+
+namespace gorsenotch::test {
+namespace {
+
+constexpr int kSmallBufferBytes = 4096;
+
+// Has the kernel accept little output for the client at `client_port`: limits the send buffer of this
+// process's end of the connection.
+void limit_send_buffer(int client_port) {
+    constexpr int kMaxDescriptor = 256;
+    for (int descriptor = 0; descriptor < kMaxDescriptor; ++descriptor) {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) != 0) continue;
+        if (ntohs(peer.sin_port) != client_port) continue;
+        EXPECT_EQ(
+            ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSmallBufferBytes, sizeof kSmallBufferBytes), 0);
+    }
+}
+
+// A body of `bytes`, in chunks of three bytes: the framing makes the answer several times as long.
+std::string in_small_chunks(std::size_t bytes) {
+    std::string text;
+    for (std::size_t at = 0; at < bytes; at += 3) text += chunked("x\n\n");
+    return text;
+}
+
+struct BackPressureTest : ClientConnectionsTest {
+    static constexpr std::size_t kLongAnswerBytes = std::size_t{200} * 1024;
+
+    // Sends a request and lets its stream begin; returns the index of its decode exchange.
+    std::size_t begin_stream(BlockingClient& peer, const std::string& txn) {
+        peer.send(post_request(txn));
+        run_until([&] { return times_sent(txn) == 1; });
+        environment.exchanges.back().exchange->on_data(
+            "HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+        run_until([&] { return times_sent(txn) == 2; });
+        const std::size_t index = environment.exchanges.size() - 1;
+        environment.exchanges[index].exchange->on_data(kStreamHead + chunked("data: a\n\n"));
+        return index;
+    }
+    void receive(std::size_t index, const std::string& bytes) {
+        environment.exchanges[index].exchange->on_data(bytes);
+    }
+    bool is_paused(std::size_t index) const { return environment.exchanges[index].paused; }
+    int pauses(std::size_t index) const { return environment.exchanges[index].pauses; }
+    static bool has_last_chunk(BlockingClient& peer) {
+        peer.read_available();
+        return peer.text.find("\r\n0\r\n\r\n") != std::string::npos;
+    }
+};
+
+// Guards against a stream paused for good: a burst exceeds the limit, the kernel takes all of it at once, and
+// no queued write is left whose end would resume the stream.
+TEST_F(BackPressureTest, AStreamPausedByABurstIsResumedWhenTheKernelTakesAllOfItAtOnce) {
+    BlockingClient peer(clients->port());
+    const std::size_t stream = begin_stream(peer, "t1");
+    receive(stream, in_small_chunks(kLongAnswerBytes));
+    EXPECT_EQ(pauses(stream), 1);
+    run_until([&] { return !is_paused(stream); });
+    receive(stream, "0\r\n\r\n");
+    run_until([&] { return has_last_chunk(peer); });
+}
+
+// Guards against back-pressure that ends with the first request of a connection: the pause of an answer that
+// ended while its client lagged must not be remembered for the next answer.
+TEST_F(BackPressureTest, TheNextRequestOfTheConnectionIsPausedAndResumedToo) {
+    BlockingClient peer(clients->port());
+    const std::size_t first = begin_stream(peer, "t1");
+    receive(first, in_small_chunks(kLongAnswerBytes) + "0\r\n\r\n");
+    run_until([&] { return has_last_chunk(peer); });
+    peer.text.clear();
+    const std::size_t second = begin_stream(peer, "t2");
+    receive(second, in_small_chunks(kLongAnswerBytes));
+    EXPECT_EQ(pauses(second), 1);
+    run_until([&] { return !is_paused(second); });
+    receive(second, "0\r\n\r\n");
+    run_until([&] { return has_last_chunk(peer); });
+}
+
+// Guards against a resume that no longer waits for the client: then a slow client beside a fast endpoint
+// would fill the memory.
+TEST_F(BackPressureTest, AStreamStaysPausedWhileItsClientDoesNotReadAndIsResumedOnceItDoes) {
+    BlockingClient peer(clients->port());
+    const std::size_t stream = begin_stream(peer, "t1");
+    limit_send_buffer(peer.port());
+    receive(stream, in_small_chunks(kLongAnswerBytes));
+    run(100);
+    EXPECT_TRUE(is_paused(stream));
+    EXPECT_EQ(lifecycle.paused_streams(), 1u);
+    EXPECT_GT(clients->unsent_bytes(), kLongAnswerBytes);
+    run_until([&] { return peer.read_available(), !is_paused(stream); });
+    receive(stream, "0\r\n\r\n");
+    run_until([&] { return has_last_chunk(peer); });
+    EXPECT_EQ(lifecycle.paused_streams(), 0u);
+}
+
+}  // namespace
+}  // namespace gorsenotch::test
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -71,6 +71,8 @@
         std::shared_ptr<platform::UpstreamExchange> exchange;
         bool closed = false;
         std::function<void()> on_peer_closed = nullptr;  // set while only the sending direction has ended
+        bool paused = false;
+        int pauses = 0;  // how often it was paused
     };
     Millis now_ms = 1000;
     Millis connect_time = 0;
@@ -91,7 +93,13 @@
         exchange->on_request_written();
         exchanges.push_back({address, std::move(request), std::move(exchange), false, nullptr});
     }
-    void pause(const platform::UpstreamExchange&, bool) override {}
+    void pause(const platform::UpstreamExchange& exchange, bool paused) override {
+        for (StartedExchange& started : exchanges) {
+            if (started.exchange.get() != &exchange) continue;
+            started.paused = paused;
+            started.pauses += paused ? 1 : 0;
+        }
+    }
     void close(const platform::UpstreamExchange& exchange) override {
         for (StartedExchange& started : exchanges) started.closed |= started.exchange.get() == &exchange;
     }
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -31,6 +31,13 @@
     void send(const std::string& bytes) {
         EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
     }
+    // This client's own port.
+    int port() const {
+        sockaddr_in address{};
+        socklen_t size = sizeof address;
+        EXPECT_EQ(::getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size), 0);
+        return ntohs(address.sin_port);
+    }
     void close() {
         if (fd_ >= 0) ::close(fd_);
         fd_ = -1;
