A stream longer than 256 KiB, the platform's limit on bodies, is cut off as malformed

What callers saw, once streams were resumed: an answer that never ends was forwarded without end.

Change: the response parser has the limit as its limit on bodies. Beyond it the attempt ends as any malformed stream does, as reset (before the first event: as error), and the client's connection ends without the last chunk. So memory for one stream, its share of the loop and its length are bounded. Counted as responses_too_long in the status line.

Tests: UpstreamExchangeTest.AStreamEndsAsResetOnceItExceedsThePlatformsLimitOnBodies (256 KiB pass, one byte more does not; before, nothing ended it) and tests/life/back-pressure.test.mjs: endless streams end within 5 s without the last chunk while others get their first event within 0.3 s.

--- a/src/platform/attempt_runner.cpp
+++ b/src/platform/attempt_runner.cpp
@@ -213,6 +213,7 @@
     attempt->mark_ended();
     --context_.attempts_in_flight;
     ++context_.counters.of(outcome.result);
+    if (outcome.too_long) ++context_.counters.responses_too_long;
     report_to_invariant_checker(key, *attempt, outcome);
     attempt->ended_at = context_.environment.now();
     attempt->result = outcome.result;
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -27,6 +27,7 @@
     std::uint64_t client_disconnected = 0;
     std::uint64_t migrated = 0;
     std::uint64_t attempts = 0;
+    std::uint64_t responses_too_long = 0;
     std::uint64_t stream_pauses = 0;   // an endpoint is not read because the client lags behind
     std::uint64_t stream_resumes = 0;  // it is read again
     std::uint64_t results[9] = {};     // by AttemptResult
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -96,6 +96,7 @@
     fields["client_disconnected"] = counters.client_disconnected;
     fields["migrated"] = counters.migrated;
     fields["attempts"] = counters.attempts;
+    fields["responses_too_long"] = counters.responses_too_long;
     fields["stream_pauses"] = counters.stream_pauses;
     fields["stream_resumes"] = counters.stream_resumes;
     // `results` counts attempts; `outcomes` counts requests.
--- a/src/platform/upstream_exchange.cpp
+++ b/src/platform/upstream_exchange.cpp
@@ -11,9 +11,10 @@
 constexpr std::size_t kMaxHeadBytes = 16 * kKibibyte;
 constexpr std::size_t kMaxHeaders = 100;
 constexpr std::size_t kMaxFirstEventBytes = 64 * kKibibyte;
-constexpr std::size_t kMaxBodyBytes = 16 * kKibibyte;      // of a response that is not a stream
-constexpr std::uint64_t kMaxChunkBytes = 256 * kKibibyte;  // the maximum body length on this platform
-constexpr int kMaxInterimResponses = 16;                   // 1xx responses before the response
+constexpr std::size_t kMaxBodyBytes = 16 * kKibibyte;     // of a response that is not a stream
+constexpr std::size_t kMaxStreamBytes = 256 * kKibibyte;  // the maximum body length on this platform
+constexpr std::uint64_t kMaxChunkBytes = kMaxStreamBytes;
+constexpr int kMaxInterimResponses = 16;  // 1xx responses before the response
 constexpr double kMaxCachedTokens = 1e9;
 
 double cached_tokens(const std::string& body) {
@@ -31,7 +32,8 @@
 
 UpstreamExchange::UpstreamExchange(Kind kind)
     : kind_(kind),
-      parser_(http::Parser::Kind::response, http::Limits{kMaxHeadBytes, kMaxHeaders, 0, kMaxChunkBytes}) {
+      parser_(http::Parser::Kind::response,
+              http::Limits{kMaxHeadBytes, kMaxHeaders, kMaxStreamBytes, kMaxChunkBytes}) {
     parser_.on_headers = [this] { on_head(); };
     parser_.on_body = [this](std::string_view bytes) { on_body(bytes); };
     parser_.on_complete = [this] { on_complete(); };
@@ -132,6 +134,7 @@
     outcome.status = status_;
     outcome.detail = detail;
     outcome.stream_begun = stream_begun_;
+    outcome.too_long = parser_.fault() == http::Fault::body_too_large;
     body_ = std::string();
     const auto callback = std::move(on_ended);
     if (callback) callback(outcome);
--- a/src/platform/upstream_exchange.h
+++ b/src/platform/upstream_exchange.h
@@ -4,7 +4,8 @@
 // Order of calls to the owner: on_sent, on_written and on_first_byte at most once, on_first_event at most
 // once, on_more_events after that, on_ended exactly once and last. Events are passed on unchanged as they
 // arrive. Only the first event is buffered until it is complete: a response that breaks before is a failed
-// attempt, not a stream that has begun. After on_ended calls have no effect.
+// attempt, not a stream that has begun. A response longer than the platform's limit on bodies is malformed:
+// an answer that never ends is cut off there. After on_ended calls have no effect.
 #pragma once
 
 #include <functional>
@@ -25,6 +26,7 @@
     int status = 0;     // of the response; 0: none received
     double detail = 0;  // as AttemptEnded::detail
     bool stream_begun = false;
+    bool too_long = false;  // the response exceeded the platform's limit on bodies
 };
 
 // Ownership: shared between the caller that started it and the connection that carries it. Errors: a
--- /dev/null
+++ b/tests/life/back-pressure.test.mjs
@@ -0,0 +1,112 @@
+// Streams that arrive faster than they are forwarded, and streams that never end, through one gateway process (`gorsenotch node`).
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import { after, before, test } from 'node:test';
+import { Discovery, Engine, Gateway, sleep, waitUntil } from './platform.mjs';
+
+const KIBIBYTE = 1024;
+const BODY_LIMIT_BYTES = 256 * KIBIBYTE;  // "No body exceeds 256 KiB"
+const END_LIMIT_MS = 5000;  // within which the client's connection has to end after a spoilt stream began
+const FIRST_TOKEN_LIMIT_MS = 300;  // beside such streams; the time within which events have to be forwarded
+
+let prefillEngine, decodeEngine, discovery, gateway;
+before(async () => {
+  prefillEngine = await new Engine().start('r1', 'read');
+  decodeEngine = await new Engine().start('w1', 'write');
+  discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
+  gateway = await new Gateway().start(discovery.port, [prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
+  await waitUntil('the gateway to have the list and watch for changes', () => discovery.pendingWatches.length === 1);
+});
+after(async () => {
+  assert.deepEqual(await gateway.stop(), { code: 0, signal: null });
+  for (const service of [prefillEngine, decodeEngine, discovery]) service.stop();
+});
+
+const streamHead = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
+const chunk = (text) => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+// A client that reads all that it gets; its properties tell what it got.
+class Client {
+  text = ''; endedAt = 0; firstByteAt = 0; lastByteAt = 0;
+  constructor(txn) {
+    this.txn = txn;
+    this.sentAt = Date.now();
+    this.ended = new Promise((resolve) => {
+      this.socket = net.connect(gateway.port, '127.0.0.1', () => this.socket.write('POST /v1/chat/completions HTTP/1.1\r\n' +
+        `x-txn: ${txn}\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: 2500m\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{}`));
+      this.socket.on('data', (bytes) => { this.text += bytes; this.lastByteAt = Date.now(); this.firstByteAt ||= this.lastByteAt; });
+      this.socket.on('error', () => {});
+      this.socket.on('close', () => { this.endedAt = Date.now(); resolve(); });
+    });
+  }
+  get body() {
+    let body = '', at = this.text.indexOf('\r\n\r\n') + 4;
+    for (let size; (size = parseInt(this.text.slice(at, at + 8), 16)) > 0; at += size + 2) {
+      at = this.text.indexOf('\r\n', at) + 2;
+      body += this.text.slice(at, at + size);
+    }
+    return body;
+  }
+  get complete() { return this.text.endsWith('\r\n0\r\n\r\n'); }
+}
+
+// Guards against cutting off a sound answer near the limit on bodies. (The pause that such a burst may cause is forced by
+// BackPressureTest.)
+test('sound answers that arrive in one burst of small chunks are delivered whole', async () => {
+  // In chunks of two bytes, the answer is several times as long on the wire as its body.
+  const EVENT = 'data: x\n\n\n', EVENTS = Math.floor(250 * KIBIBYTE / EVENT.length);
+  const burst = streamHead + EVENT.match(/../gs).map(chunk).join('').repeat(EVENTS) + '0\r\n\r\n';
+  decodeEngine.handler = (request, response) => {
+    if (!request.headers['x-txn']?.startsWith('burst') || request.method !== 'POST') return false;
+    response.socket.end(burst);
+    return true;
+  };
+  const clients = [];
+  for (let index = 0; index < 12; ++index) {
+    clients.push(new Client(`burst-${index}`));
+    await Promise.race([clients.at(-1).ended, sleep(500)]);
+  }
+  await Promise.race([Promise.all(clients.map((client) => client.ended)), sleep(5000)]);
+  for (const client of clients) client.socket.destroy();
+  decodeEngine.handler = () => false;
+  const complete = clients.filter((client) => client.complete);
+  assert.equal(complete.length, clients.length, `incomplete: ${clients.filter((client) => !client.complete)
+    .map((client) => `${client.txn} got ${client.text.length} bytes`).join(', ')}`);
+  for (const client of complete) assert.equal(client.body, EVENT.repeat(EVENTS));
+});
+
+// Guards against answers that never end: left waiting on an open connection, forwarded without end, or slowing down all others.
+test('streams that never end are cut off at the limit on bodies, in time, and delay no other stream', async () => {
+  const block = chunk(`data: ${'x'.repeat(1000)}\n\n`).repeat(100);
+  decodeEngine.handler = (request, response) => {
+    if (!request.headers['x-txn']?.startsWith('endless') || request.method !== 'POST') return false;
+    const { socket } = response;
+    socket.write(streamHead + chunk('data: 1\n\n'));
+    const keepWriting = () => {
+      if (socket.destroyed) return;
+      if (socket.write(block)) setImmediate(keepWriting);
+      else socket.once('drain', keepWriting);
+    };
+    keepWriting();
+    return true;
+  };
+  const endless = [], others = [];
+  for (let round = 0; round < 20; ++round) {
+    if (round % 2 === 0) endless.push(new Client(`endless-${round}`));
+    others.push(new Client(`other-${round}`));
+    await sleep(100);
+  }
+  await Promise.race([Promise.all([...endless, ...others].map((client) => client.ended)), sleep(END_LIMIT_MS)]);
+  for (const client of [...endless, ...others]) client.socket.destroy();
+  decodeEngine.handler = () => false;
+  for (const client of endless) {
+    assert.ok(client.endedAt > 0 && client.endedAt - client.firstByteAt < END_LIMIT_MS,
+      `${client.txn}: ${client.text.length} bytes, not ended ${END_LIMIT_MS} ms after the first`);
+    assert.ok(!client.complete, `${client.txn}: ended as if it were whole`);
+    assert.ok(client.body.length <= BODY_LIMIT_BYTES, `${client.txn}: ${client.body.length} bytes of the body`);
+  }
+  for (const client of others) {
+    assert.ok(client.complete, `${client.txn}: ${client.text}`);
+    assert.ok(client.firstByteAt - client.sentAt < FIRST_TOKEN_LIMIT_MS, `${client.txn}: ${client.firstByteAt - client.sentAt} ms`);
+  }
+});
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -383,6 +383,28 @@
     EXPECT_FALSE(incomplete.end->stream_begun);
 }
 
+// Guards against a stream that never ends: each of its chunks is short and valid, and nothing else would end
+// it. The platform allows bodies of 256 KiB.
+TEST(UpstreamExchangeTest, AStreamEndsAsResetOnceItExceedsThePlatformsLimitOnBodies) {
+    constexpr std::size_t kLimit = std::size_t{256} * 1024;
+    const std::string event = "data: " + std::string(1016, 'x') + "\n\n";  // 1 KiB
+    RecordedExchange longest(Kind::decode);
+    longest.feed(kStreamHead, 100);
+    for (std::size_t sent = 0; sent < kLimit; sent += event.size()) longest.feed(chunked(event), 16384);
+    EXPECT_FALSE(longest.end);
+    EXPECT_EQ(longest.events.size(), kLimit);
+    RecordedExchange endless(Kind::decode);
+    endless.feed(kStreamHead, 100);
+    for (std::size_t sent = 0; sent <= kLimit; sent += event.size()) endless.feed(chunked(event), 16384);
+    ASSERT_TRUE(endless.end);
+    EXPECT_EQ(endless.end->result, AttemptResult::reset);
+    EXPECT_TRUE(endless.end->too_long);
+    EXPECT_FALSE(endless.exchange->is_reusable());
+    longest.feed("0\r\n\r\n", 100);
+    ASSERT_TRUE(longest.end);
+    EXPECT_EQ(longest.end->result, AttemptResult::served);
+}
+
 TEST(UpstreamExchangeTest, ARequestThatBrokeBeforeItsLastByteNeverRan) {
     platform::UpstreamExchange exchange(Kind::decode);
     AttemptResult result = AttemptResult::served;
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -36,6 +36,7 @@
                                             "client_disconnected",
                                             "migrated",
                                             "attempts",
+                                            "responses_too_long",
                                             "stream_pauses",
                                             "stream_resumes",
                                             "outcomes",
