A paused stream ends once its client's host has acknowledged nothing for 5 s

What callers saw: a client that stops reading and stays kept its server's slot and both connections without end, once more than 256 KiB waited for it.

Cause: StreamForwarder::on_idle_timer moved the stream's idle time on for as long as the stream was paused. That its client lags behind is no evidence that the client takes anything.

Change: while a stream is paused, control::ClientProgress records the bytes that the client's host has acknowledged (written bytes less those queued here and in the kernel, SIOCOUTQ). Without an acknowledgement for 5 s, as long as a client gets to take the rest of an ended answer, the attempt is cancelled and the client's connection ends without the last chunk; seen within 10 s. A client that reads slowly keeps its stream. Counted as stalled_clients.

Tests: PlatformTest.APausedStreamEndsOnceItsClientTakesNothingAnyMore (fake clock) and BackPressureTest.AClientThatReadsSlowlyKeepsItsStreamAndOneThatStopsReadingLosesIt (real sockets).

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,10 +1,13 @@
 #include "net/tcp_stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -85,6 +88,7 @@
 
 void TcpStream::write(std::string bytes) {
     if (handle_->closing || bytes.empty()) return;
+    handle_->written += bytes.size();
     if (handle_->in_flight == 0) {
         const std::size_t written = try_write(bytes);
         if (written == bytes.size()) return;
@@ -151,6 +155,14 @@
 }
 
 std::size_t TcpStream::queued() const { return handle_ ? handle_->in_flight : 0; }
+std::uint64_t TcpStream::acknowledged_bytes() const {
+    uv_os_fd_t fd = -1;
+    if (!handle_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return 0;
+    int unacknowledged = 0;  // of the bytes that the kernel has accepted
+    if (::ioctl(fd, SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
+    const std::uint64_t accepted = handle_->written - uv_stream_get_write_queue_size(handle_->stream());
+    return accepted - std::min(accepted, static_cast<std::uint64_t>(std::max(0, unacknowledged)));
+}
 bool TcpStream::has_written() const { return handle_ && (handle_->wrote || handle_->in_flight > 0); }
 
 bool TcpStream::poll_now(short events, bool if_unknown) const {
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,9 @@
     void reset();
     // Number of written bytes that have not been handed to the kernel yet.
     std::size_t queued() const;
+    // Number of written bytes whose arrival the peer's host has acknowledged. Where the kernel does not tell,
+    // the number of bytes handed to the kernel.
+    std::uint64_t acknowledged_bytes() const;
     // Whether any byte was handed to the kernel or is queued for it.
     bool has_written() const;
     // Whether the peer's FIN or RST has arrived, read or not; true once the stream has ended.
--- a/src/net/tcp_stream_handle.h
+++ b/src/net/tcp_stream_handle.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 
 #include "net/tcp_stream.h"
@@ -19,6 +20,7 @@
     bool reading = false;
     bool ended = false;         // on_end was called, or must no longer be called
     std::size_t in_flight = 0;  // bytes in pending WriteRequests
+    std::uint64_t written = 0;  // bytes passed to TcpStream::write()
     std::function<void(int)> on_connected;
     uv_connect_t connect_request{};
 
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -1,6 +1,7 @@
 // The interface through which a request's answer is sent to its client.
 #pragma once
 
+#include <cstdint>
 #include <string_view>
 
 #include "gorsenotch/settings.h"
@@ -27,6 +28,8 @@
     // So much of the answer is waiting to be sent that its endpoint must not be read. Whenever that may have
     // changed, RequestLifecycle::on_client_output_sent is called or the connection ends.
     virtual bool is_congested() const { return false; }
+    // Bytes sent on its connection that the client's host has acknowledged.
+    virtual std::uint64_t acknowledged_bytes() const { return 0; }
     // The client has closed its connection, even if its FIN has not been read yet.
     virtual bool has_disconnected() { return false; }
 };
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -148,6 +148,7 @@
     void abort_stream() override;
     void send_final(int status, Millis retry_after, std::string_view text) override;
     bool is_congested() const override;
+    std::uint64_t acknowledged_bytes() const override { return stream_ ? stream_->acknowledged_bytes() : 0; }
     bool has_disconnected() override { return stream_->peer_closed(); }
 
     // For the owner: its place in the owner's list, and whether a flush is scheduled.
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -28,9 +28,10 @@
     std::uint64_t migrated = 0;
     std::uint64_t attempts = 0;
     std::uint64_t responses_too_long = 0;
-    std::uint64_t stream_pauses = 0;   // an endpoint is not read because the client lags behind
-    std::uint64_t stream_resumes = 0;  // it is read again
-    std::uint64_t results[9] = {};     // by AttemptResult
+    std::uint64_t stream_pauses = 0;    // an endpoint is not read because the client lags behind
+    std::uint64_t stream_resumes = 0;   // it is read again
+    std::uint64_t stalled_clients = 0;  // their paused stream was ended, as they took nothing of it
+    std::uint64_t results[9] = {};      // by AttemptResult
     std::array<std::uint64_t, control::kSendBlockReasonNames.size()> send_blocks{};
     // Releases by how they ended and by why they were started.
     std::array<std::uint64_t, kReleaseEnds.size()> release_ends{};
--- a/src/platform/request_state.h
+++ b/src/platform/request_state.h
@@ -16,6 +16,7 @@
 #include <unordered_set>
 
 #include "control/attempt_clock.h"
+#include "control/client_progress.h"
 #include "control/lease_ledger.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
@@ -92,11 +93,12 @@
     Millis arrived = 0;        // when the request's first byte was received
     Millis deadline = 0;
     std::optional<Millis> stream_begun_at;
-    double completion_tokens = 0;          // of the answer; 0: not given
-    bool closed = false;                   // the client has its final answer, or has disconnected
-    bool paused = false;                   // its endpoint is not read, as the client lags behind
-    control::LeaseLedger leases;           // on what endpoints may hold for it
-    std::optional<Millis> lease_check_at;  // when the earliest lease timer fires
+    double completion_tokens = 0;             // of the answer; 0: not given
+    bool closed = false;                      // the client has its final answer, or has disconnected
+    bool paused = false;                      // its endpoint is not read, as the client lags behind
+    control::ClientProgress client_progress;  // while paused
+    control::LeaseLedger leases;              // on what endpoints may hold for it
+    std::optional<Millis> lease_check_at;     // when the earliest lease timer fires
     std::optional<DeferredPrefill> deferred_prefill;
     std::deque<AttemptState> attempts;
     std::shared_ptr<UpstreamExchange> reservation;  // the latest call to reserve a slot
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -99,6 +99,7 @@
     fields["responses_too_long"] = counters.responses_too_long;
     fields["stream_pauses"] = counters.stream_pauses;
     fields["stream_resumes"] = counters.stream_resumes;
+    fields["stalled_clients"] = counters.stalled_clients;
     // `results` counts attempts; `outcomes` counts requests.
     fields["results"] = results_by_name(counters);
     fields["outcomes"] = counts_by_name(kOutcomeNames, lifecycle.access_log().outcomes());
--- a/src/platform/stream_forwarder.cpp
+++ b/src/platform/stream_forwarder.cpp
@@ -37,7 +37,7 @@
     context_.invariant_checker.on_lease_taken(handle);
     lease_keeper_.on_kv_cache_fetched(*request);
     request->inbound.body = std::string();
-    set_idle_timer(*request, attempt_index, now);
+    set_idle_timer(*request, attempt_index, now + kStreamIdleTimeout);
     if (request->client) {
         context_.invariant_checker.on_answered(handle, false, now);
         request->client->begin_stream(events);
@@ -63,21 +63,30 @@
     update_pause(*request);
 }
 
-void StreamForwarder::set_idle_timer(RequestState& request, int attempt_index, Millis last_event_at) {
-    context_.driver.set_timer(TimerKind::stream_idle, last_event_at + kStreamIdleTimeout, &request,
-                              attempt_index, 0, true);
+void StreamForwarder::set_idle_timer(RequestState& request, int attempt_index, Millis at) {
+    context_.driver.set_timer(TimerKind::stream_idle, at, &request, attempt_index, 0, true);
 }
 
 // Guards against a stream whose endpoint has stopped responding: nothing else would end it.
 void StreamForwarder::on_idle_timer(RequestState& request, int attempt_index) {
-    AttemptState& attempt = *request.find_attempt(attempt_index);
-    const Millis now = context_.environment.now();
-    if (request.paused) attempt.last_event_at = now;
-    if (attempt.last_event_at + kStreamIdleTimeout > now)
-        return set_idle_timer(request, attempt_index, attempt.last_event_at);
+    if (request.paused) return check_client_progress(request, attempt_index);
+    const AttemptState& attempt = *request.find_attempt(attempt_index);
+    if (attempt.last_event_at + kStreamIdleTimeout > context_.environment.now())
+        return set_idle_timer(request, attempt_index, attempt.last_event_at + kStreamIdleTimeout);
     abort_attempt(context_.environment, attempt, AttemptResult::reset);
 }
 
+// Guards against a client that stops reading and stays: the endpoint, which is not read meanwhile, would hold
+// the request's place for as long.
+void StreamForwarder::check_client_progress(RequestState& request, int attempt_index) {
+    const Millis now = context_.environment.now();
+    request.client_progress.record(now, request.client ? request.client->acknowledged_bytes() : 0);
+    const Millis stalls_at = request.client_progress.stalls_at();
+    if (stalls_at > now) return set_idle_timer(request, attempt_index, stalls_at);
+    ++context_.counters.stalled_clients;
+    abort_attempt(context_.environment, *request.find_attempt(attempt_index), AttemptResult::cancelled);
+}
+
 void StreamForwarder::on_client_output_sent(std::uint64_t handle) {
     RequestState* request = context_.requests.find(handle);
     if (request) update_pause(*request);
@@ -90,8 +99,10 @@
     const bool paused = request.client && request.client->is_congested();
     if (request.paused == paused) return;
     request.paused = paused;
+    const Millis now = context_.environment.now();
+    if (paused) request.client_progress.start(now, request.client->acknowledged_bytes());
     AttemptState& attempt = request.attempts.back();
-    attempt.last_event_at = context_.environment.now();
+    attempt.last_event_at = now;
     ++(paused ? context_.counters.stream_pauses : context_.counters.stream_resumes);
     context_.environment.pause(*attempt.exchange, paused);
 }
--- a/src/platform/stream_forwarder.h
+++ b/src/platform/stream_forwarder.h
@@ -30,7 +30,8 @@
     // The timer `TimerKind::stream_idle` of an attempt in flight has fired.
     void on_idle_timer(RequestState& request, int attempt_index);
     // Output was handed to the kernel for the client of the request. The endpoint is not read while
-    // Client::is_congested(); its idle timeout does not run meanwhile.
+    // Client::is_congested(). Meanwhile its idle timeout does not run; instead the stream ends if the client
+    // acknowledges nothing for control::ClientProgress::kStallTimeout.
     void on_client_output_sent(std::uint64_t handle);
     // Cancels the attempt of a stream whose client has disconnected.
     void cancel_stream(const RequestState& request);
@@ -51,7 +52,8 @@
 private:
     std::size_t count_requests(bool (*matches)(const RequestState&)) const;
     void update_pause(RequestState& request);
-    void set_idle_timer(RequestState& request, int attempt_index, Millis last_event_at);
+    void set_idle_timer(RequestState& request, int attempt_index, Millis at);
+    void check_client_progress(RequestState& request, int attempt_index);
 
     LifecycleContext& context_;
     LeaseManager& lease_keeper_;
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -49,6 +49,15 @@
     }
     bool is_paused(std::size_t index) const { return environment.exchanges[index].paused; }
     int pauses(std::size_t index) const { return environment.exchanges[index].pauses; }
+    // Advances the clock of the lifecycle, which is not the event loop's, and runs its timers.
+    void advance(Millis duration) {
+        for (const Millis end = environment.now_ms + duration; environment.now_ms < end;) {
+            environment.now_ms += 100;
+            lifecycle.after_poll(environment.now_ms);
+            lifecycle.tick();
+            lifecycle.before_poll(environment.now_ms + 100);
+        }
+    }
     static bool has_last_chunk(BlockingClient& peer) {
         peer.read_available();
         return peer.text.find("\r\n0\r\n\r\n") != std::string::npos;
@@ -94,11 +103,36 @@
     EXPECT_TRUE(is_paused(stream));
     EXPECT_EQ(lifecycle.paused_streams(), 1u);
     EXPECT_GT(clients->unsent_bytes(), kLongAnswerBytes);
+    EXPECT_EQ(environment.exchanges[stream].pauses, 1);
     run_until([&] { return peer.read_available(), !is_paused(stream); });
     receive(stream, "0\r\n\r\n");
     run_until([&] { return has_last_chunk(peer); });
     EXPECT_EQ(lifecycle.paused_streams(), 0u);
 }
 
+// Guards against a client that stops reading and stays, whose paused stream holds its place at the endpoint
+// without end; and against taking a client that reads slowly for one.
+TEST_F(BackPressureTest, AClientThatReadsSlowlyKeepsItsStreamAndOneThatStopsReadingLosesIt) {
+    constexpr std::size_t kSlowReadBytes = std::size_t{80} * 1024;
+    BlockingClient peer(clients->port());
+    const std::size_t stream = begin_stream(peer, "t1");
+    limit_send_buffer(peer.port());
+    receive(stream, in_small_chunks(kLongAnswerBytes));
+    run(20);
+    ASSERT_TRUE(is_paused(stream));
+    for (int i = 0; i < 2; ++i) {
+        advance(4000);
+        peer.read_available(kSlowReadBytes);
+        run(20);
+        ASSERT_TRUE(is_paused(stream)) << "the client still lags behind";
+        EXPECT_FALSE(environment.exchanges[stream].closed);
+    }
+    advance(10100);
+    EXPECT_TRUE(environment.exchanges[stream].closed);
+    EXPECT_EQ(lifecycle.counters().stalled_clients, 1u);
+    run_until([&] { return peer.read_available(), peer.ended; });
+    EXPECT_EQ(peer.text.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace gorsenotch::test
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -46,7 +46,11 @@
     int status = 0;
     bool stream_aborted = false;
     bool disconnected = false;  // the client has closed its connection; RequestLifecycle does not know yet
+    bool congested = false;
+    std::uint64_t acknowledged = 0;
 
+    bool is_congested() const override { return congested; }
+    std::uint64_t acknowledged_bytes() const override { return acknowledged; }
     bool has_disconnected() override { return disconnected; }
     void begin_stream(std::string_view first) override {
         ++streams_begun;
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -39,6 +39,7 @@
                                             "responses_too_long",
                                             "stream_pauses",
                                             "stream_resumes",
+                                            "stalled_clients",
                                             "outcomes",
                                             "end_causes",
                                             "violations",
--- a/tests/platform/stream_forwarder_test.cpp
+++ b/tests/platform/stream_forwarder_test.cpp
@@ -22,6 +22,42 @@
     EXPECT_TRUE(last_exchange().closed);
 }
 
+// Guards against a client that stops reading and stays: its stream would stay paused, and hold its place at
+// the endpoint, without end.
+TEST_F(PlatformTest, APausedStreamEndsOnceItsClientTakesNothingAnyMore) {
+    send_request("t1", client);
+    answer_prefill();
+    answer(kStreamHead + chunked("data: a\n\n"));
+    client.congested = true;
+    answer(chunked("data: b\n\n"));
+    EXPECT_TRUE(last_exchange().paused);
+    for (int i = 0; i < 5; ++i) {  // slow, but not stalled
+        advance(4000);
+        client.acknowledged += 10;
+    }
+    EXPECT_EQ(client.answers_ended, 0);
+    advance(10000);
+    EXPECT_TRUE(client.stream_aborted);
+    EXPECT_TRUE(last_exchange().closed);
+}
+
+// The time in which the endpoint was not read does not count as its silence.
+TEST_F(PlatformTest, TheIdleTimeoutOfAResumedStreamStartsAnew) {
+    const auto handle = send_request("t1", client);
+    answer_prefill();
+    answer(kStreamHead + chunked("data: a\n\n"));
+    client.congested = true;
+    answer(chunked("data: b\n\n"));
+    advance(4500);
+    client.congested = false;
+    lifecycle.on_client_output_sent(handle);
+    EXPECT_FALSE(last_exchange().paused);
+    advance(3500);
+    EXPECT_EQ(client.answers_ended, 0);
+    advance(1500);
+    EXPECT_TRUE(client.stream_aborted);
+}
+
 TEST_F(PlatformTest, AMigratedStreamEndsOnce) {
     const auto handle = send_request("t1", client);
     answer_prefill();
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdint>
 #include <string>
 
 namespace gorsenotch::test {
@@ -42,10 +43,11 @@
         if (fd_ >= 0) ::close(fd_);
         fd_ = -1;
     }
-    // Reads what is available: updates the received text, and whether and how the connection ended.
-    void read_available() {
+    // Reads what is available, up to about `most` bytes: updates the received text, and whether and how the
+    // connection ended.
+    void read_available(std::size_t most = SIZE_MAX) {
         char buffer[4096];
-        for (;;) {
+        for (const std::size_t before = text.size(); text.size() - before < most;) {
             const ssize_t received = ::recv(fd_, buffer, sizeof buffer, 0);
             if (received > 0) {
                 text.append(buffer, static_cast<std::size_t>(received));
