Soak: a delayed delivery is matched by server and source port, not by the port alone

The gateway's log has the write 1 ms after the arrival.

Cause: the check is wrong. Paths.writtenAt found the proxy's record of a held delivery by the source port of its connection to the server, within 500 ms. The kernel uses one source port for connections to several servers, and a cut that ends delivers to all at once; then the first record with the port may be another server's.

The proxy names the server with each delivery now, and both have to match. Bound and rule are unchanged; the check is as strict, and no longer misses a late stamp by taking an earlier delivery's time.

--- a/tests/soak/paths.mjs
+++ b/tests/soak/paths.mjs
@@ -8,7 +8,7 @@
 export class Paths {
   constructor(harness) {
     this.harness = harness;
-    this.delayedDeliveries = [];  // {port, writtenAt, at}: bytes held by a cut reached a server from this source port
+    this.delayedDeliveries = [];  // {server, port, writtenAt, at}: bytes held by a cut reached a server from this source port
     this.cuts = [];  // {id, servers, inward, outward, openOnly, from, to}
     this.listenWaiters = new Map();  // server name -> resolves the promise of its listener
     this.proxy = fork(fileURLToPath(new URL('./proxy.mjs', import.meta.url)), { stdio: ['ignore', 'ignore', 'inherit', 'ipc'] });
@@ -18,7 +18,7 @@
   handleMessage(message) {
     if (message.listening) { this.listenWaiters.get(message.listening)?.(); this.listenWaiters.delete(message.listening); }
     if (message.delayMs) this.harness.hostDelays.push({ at: this.harness.now(), delayMs: message.delayMs });
-    if (message.delivered) this.delayedDeliveries.push({ port: message.delivered, writtenAt: message.writtenAt - this.proxyClockOffsetMs, at: this.harness.now() });
+    if (message.delivered) this.delayedDeliveries.push({ server: message.server, port: message.delivered, writtenAt: message.writtenAt - this.proxyClockOffsetMs, at: this.harness.now() });
   }
   // Adds a path to `server`; resolves once its proxied address accepts connections.
   add(server, address) {
@@ -39,9 +39,10 @@
     cut.to = this.harness.now();
     if (this.proxy.connected) this.proxy.send({ endCut: { id: cut.id, reset } });
   }
-  // When the gateway wrote an attempt that a cut delayed; undefined for an attempt that was not delayed.
+  // When the gateway wrote an attempt that a cut delayed; undefined for an attempt that was not delayed. A source port alone does not
+  // name a connection: the kernel uses one port for connections to several servers.
   writtenAt(attempt) {
-    return this.delayedDeliveries.find((delivery) => delivery.port === attempt.port && Math.abs(delivery.at - attempt.lastByteAt) < 500 && delivery.writtenAt < attempt.lastByteAt)?.writtenAt;
+    return this.delayedDeliveries.find((delivery) => delivery.server === attempt.server && delivery.port === attempt.port && Math.abs(delivery.at - attempt.lastByteAt) < 500 && delivery.writtenAt < attempt.lastByteAt)?.writtenAt;
   }
   // Whether a cut affected a server's path in an interval.
   affected(server, from, to) { return this.cuts.some((cut) => cut.servers.includes(server) && cut.from <= to && cut.to >= from); }
--- a/tests/soak/proxy.mjs
+++ b/tests/soak/proxy.mjs
@@ -10,7 +10,7 @@
 
 const DELAY_REPORT_MS = 6;  // longer gaps between ticks of the 4 ms timer are reported as host delay
 
-const links = new Map();  // server name -> {target, open: Set of ProxiedConnection, cuts: Map of id -> cut}
+const links = new Map();  // server name -> {name, target, open: Set of ProxiedConnection, cuts: Map of id -> cut}
 const nowMs = () => Number(process.hrtime.bigint()) / 1e6;
 
 // One direction of a connection: `inward` to the server or `outward` to the gateway.
@@ -38,7 +38,7 @@
   // Delivers the buffered bytes once no cut applies.
   flush() {
     if (this.buffered.length === 0 || this.mode() !== '') return;
-    if (this.name === 'inward') process.send({ delivered: this.connection.server.localPort, writtenAt: this.firstBufferedAt });
+    if (this.name === 'inward') process.send({ delivered: this.connection.server.localPort, server: this.connection.link.name, writtenAt: this.firstBufferedAt });
     for (const bytes of this.buffered.splice(0)) this.destination().write(bytes);
   }
 }
@@ -91,7 +91,7 @@
 }
 
 async function listen({ name, address, port, target }) {
-  const link = { target, open: new Set(), cuts: new Map() };
+  const link = { name, target, open: new Set(), cuts: new Map() };
   links.set(name, link);
   const server = net.createServer({ allowHalfOpen: true }, (socket) => new ProxiedConnection(link, socket));
   await new Promise((resolve, reject) => { server.on('error', reject); server.listen(port, address, 1024, resolve); });
