One copy of what the last changes wrote twice: limit, descriptor, loop, test set-up

Behaviour, bounds and assertions are as before.

- UpstreamExchange uses the platform's kMaxBodyBytes, which requests had already, in place of two constants of its own.
- TcpStream::descriptor() stands for four copies of the same look-up, one of them new.
- ClientConnections::for_each_connection stands for three loops that allow for removal, one of them new.
- DrainSchedule derives refuse_requests_from in place of storing it.
ClientConnection::refuse_draining no longer resets what the answer's end resets.

--- a/src/control/drain_schedule.cpp
+++ b/src/control/drain_schedule.cpp
@@ -24,9 +24,12 @@
       stop_accepting_at_(std::min(ordered_at + kAcceptFraction * (kill_at - ordered_at),
                                   resume ? kill_at : ordered_at + kLateArrivalWindow)),
       answer_remaining_at_(std::max(migrate_from_, kill_at - kFinalMargin)),
-      refuse_requests_from_(std::min(stop_accepting_at_ + kReadAllowance, answer_remaining_at_)),
       last_migration_(migrate_from_) {}
 
+Millis DrainSchedule::refuse_requests_from() const {
+    return std::min(stop_accepting_at_ + kReadAllowance, answer_remaining_at_);
+}
+
 std::size_t DrainSchedule::streams_to_migrate(Millis now, std::size_t open_streams) {
     if (now >= answer_remaining_at_) return open_streams;
     if (now <= last_migration_ || open_streams == 0) return 0;
--- a/src/control/drain_schedule.h
+++ b/src/control/drain_schedule.h
@@ -32,7 +32,7 @@
     // other gateway.
     bool stop_accepting(Millis now) const { return now >= stop_accepting_at_; }
     // From when on requests that were not read completely before are refused, on any connection.
-    Millis refuse_requests_from() const { return refuse_requests_from_; }
+    Millis refuse_requests_from() const;
     // Query: whether all requests that still lack a final response must get one now.
     bool must_answer_remaining(Millis now) const { return now >= answer_remaining_at_; }
 
@@ -40,7 +40,6 @@
     Millis migrate_from_;
     Millis stop_accepting_at_;
     Millis answer_remaining_at_;
-    Millis refuse_requests_from_;
     Millis last_migration_;
 };
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -138,8 +138,7 @@
 // directions of the connection, so that on_end follows in the next loop iteration. No effect on a connection
 // that has already ended.
 void TcpStream::abort_connection() {
-    uv_os_fd_t fd = -1;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) == 0) ::shutdown(fd, SHUT_RDWR);
+    if (const auto fd = descriptor()) ::shutdown(*fd, SHUT_RDWR);
 }
 
 void TcpStream::reset() {
@@ -154,25 +153,32 @@
     handle_ = nullptr;
 }
 
+std::optional<int> TcpStream::descriptor() const {
+    uv_os_fd_t fd = -1;
+    if (!handle_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0)
+        return std::nullopt;
+    return fd;
+}
+
 std::size_t TcpStream::queued() const { return handle_ ? handle_->in_flight : 0; }
+bool TcpStream::has_written() const { return handle_ && (handle_->wrote || handle_->in_flight > 0); }
+
 std::uint64_t TcpStream::acknowledged_bytes() const {
-    uv_os_fd_t fd = -1;
-    if (!handle_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return 0;
+    const auto fd = descriptor();
+    if (!fd) return 0;
     int unacknowledged = 0;  // of the bytes that the kernel has accepted
-    if (::ioctl(fd, SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
+    if (::ioctl(*fd, SIOCOUTQ, &unacknowledged) != 0) unacknowledged = 0;
     const std::uint64_t accepted = handle_->written - uv_stream_get_write_queue_size(handle_->stream());
     return accepted - std::min(accepted, static_cast<std::uint64_t>(std::max(0, unacknowledged)));
 }
-bool TcpStream::has_written() const { return handle_ && (handle_->wrote || handle_->in_flight > 0); }
 
 bool TcpStream::poll_now(short events, bool if_unknown) const {
-    uv_os_fd_t fd = -1;
-    if (!handle_ || handle_->ended || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0)
-        return true;
+    const auto fd = descriptor();
+    if (!fd || handle_->ended) return true;
     // Guards against an interrupted poll that is taken for "nothing pending": a request would be sent for a
     // client that has disconnected, or a connection with an unread request would be closed.
     for (int i = 0; i < kMaxPollAttempts; ++i) {
-        pollfd polled{fd, events, 0};
+        pollfd polled{*fd, events, 0};
         const int ready = ::poll(&polled, 1, 0);
         if (ready >= 0) return ready > 0 && polled.revents != 0;
     }
@@ -183,11 +189,11 @@
 bool TcpStream::has_unread_input() const { return poll_now(POLLIN | POLLRDHUP, true); }
 
 Millis TcpStream::time_since_last_receive() const {
-    uv_os_fd_t fd = -1;
-    if (!handle_ || uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->uv), &fd) != 0) return 0;
+    const auto fd = descriptor();
+    if (!fd) return 0;
     tcp_info info{};
     socklen_t size = sizeof info;
-    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    if (::getsockopt(*fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
     return info.tcpi_last_data_recv;
 }
 
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -59,6 +60,8 @@
 private:
     friend class TcpListener;
     struct Handle;
+    // Of the socket; none before it is opened and after reset().
+    std::optional<int> descriptor() const;
     // Whether one of `events` (those of poll(2)), a hang-up or an error is pending now; `if_unknown` if poll
     // keeps failing.
     bool poll_now(short events, bool if_unknown) const;
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -205,7 +205,6 @@
     ++group_.counters.refused_draining;
     inbound_.reset();
     release_body_bytes();
-    request_began_at_.reset();
     answer(503, "draining", 0, end_reason);
 }
 
--- a/src/platform/client_connections.cpp
+++ b/src/platform/client_connections.cpp
@@ -36,22 +36,26 @@
     return listener_->listen(listen_address_);
 }
 
+template <class Visit>
+void ClientConnections::for_each_connection(Visit visit) {
+    for (auto it = connections_.begin(); it != connections_.end();) {
+        ClientConnection& connection = **it++;
+        visit(connection);
+    }
+}
+
 void ClientConnections::stop_accepting() {
     group_.draining = true;
     group_.accepting_stopped = true;
     // If accepting fails temporarily, the next call accepts the pending connections.
     if (listener_ && listener_->accept_all_pending()) listener_.reset();
-    for (auto it = connections_.begin(); it != connections_.end();) {
-        ClientConnection& connection = **it++;
+    for_each_connection([](ClientConnection& connection) {
         if (connection.idle()) connection.close_idle(EndReason::draining);
-    }
+    });
 }
 
 void ClientConnections::refuse_incomplete_requests() {
-    for (auto it = connections_.begin(); it != connections_.end();) {
-        ClientConnection& connection = **it++;
-        connection.refuse_incomplete();
-    }
+    for_each_connection([](ClientConnection& connection) { connection.refuse_incomplete(); });
 }
 
 std::size_t ClientConnections::unsent_bytes() const {
@@ -154,10 +158,8 @@
     const Millis now = net::now();
     timeout_timer_.fire_after(kTimeoutCheckInterval);
     const bool crowded = 2 * connections_.size() > group_.limits.max_connections;
-    for (auto it = connections_.begin(); it != connections_.end();) {
-        ClientConnection& connection = **it++;
-        connection.enforce_timeouts(now, crowded);
-    }
+    for_each_connection(
+        [now, crowded](ClientConnection& connection) { connection.enforce_timeouts(now, crowded); });
 }
 
 }  // namespace gorsenotch::platform
--- a/src/platform/client_connections.h
+++ b/src/platform/client_connections.h
@@ -69,6 +69,9 @@
     void on_accept_failed();
     ClientConnection& add(std::unique_ptr<net::TcpStream> stream);
     bool make_room();
+    // Calls `visit` for each connection; it may remove that connection.
+    template <class Visit>
+    void for_each_connection(Visit visit);
     ClientConnection* longest_ending();
     ClientConnection* longest_idle();
     void flush();
--- a/src/platform/request.h
+++ b/src/platform/request.h
@@ -25,6 +25,7 @@
     std::string body;
 };
 
+// The platform's limit on bodies, of requests and of responses.
 constexpr std::size_t kMaxBodyBytes = std::size_t{256} * 1024;
 constexpr std::string_view kCompletionsPath = "/v1/chat/completions";
 constexpr std::string_view kReadinessPath = "/-/ready";
--- a/src/platform/stream_forwarder.h
+++ b/src/platform/stream_forwarder.h
@@ -13,7 +13,7 @@
 
 namespace gorsenotch::platform {
 
-// Ownership: no state of its own; it may change RequestState::paused, stream_begun_at and
+// Ownership: no state of its own; it may change RequestState::paused, client_progress, stream_begun_at and
 // completion_tokens, and the phase and last_event_at of the attempt whose stream has begun. Errors: if an
 // endpoint sends nothing for kStreamIdleTimeout, its attempt ends as reset. Times: ms. Threading: one thread.
 class StreamForwarder {
--- a/src/platform/upstream_exchange.cpp
+++ b/src/platform/upstream_exchange.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "platform/request.h"
+
 namespace gorsenotch::platform {
 namespace {
 
@@ -11,10 +13,8 @@
 constexpr std::size_t kMaxHeadBytes = 16 * kKibibyte;
 constexpr std::size_t kMaxHeaders = 100;
 constexpr std::size_t kMaxFirstEventBytes = 64 * kKibibyte;
-constexpr std::size_t kMaxBodyBytes = 16 * kKibibyte;     // of a response that is not a stream
-constexpr std::size_t kMaxStreamBytes = 256 * kKibibyte;  // the maximum body length on this platform
-constexpr std::uint64_t kMaxChunkBytes = kMaxStreamBytes;
-constexpr int kMaxInterimResponses = 16;  // 1xx responses before the response
+constexpr std::size_t kMaxUnstreamedBytes = 16 * kKibibyte;  // body of a response that is not a stream
+constexpr int kMaxInterimResponses = 16;                     // 1xx responses before the response
 constexpr double kMaxCachedTokens = 1e9;
 
 double cached_tokens(const std::string& body) {
@@ -33,7 +33,7 @@
 UpstreamExchange::UpstreamExchange(Kind kind)
     : kind_(kind),
       parser_(http::Parser::Kind::response,
-              http::Limits{kMaxHeadBytes, kMaxHeaders, kMaxStreamBytes, kMaxChunkBytes}) {
+              http::Limits{kMaxHeadBytes, kMaxHeaders, kMaxBodyBytes, kMaxBodyBytes}) {
     parser_.on_headers = [this] { on_head(); };
     parser_.on_body = [this](std::string_view bytes) { on_body(bytes); };
     parser_.on_complete = [this] { on_complete(); };
@@ -72,7 +72,7 @@
 void UpstreamExchange::on_body(std::string_view bytes) {
     if (over_ || connection_unusable_) return;
     if (stream_begun_) return on_more_events ? on_more_events(bytes) : void();
-    if (body_.size() + bytes.size() > (is_stream_ ? kMaxFirstEventBytes : kMaxBodyBytes))
+    if (body_.size() + bytes.size() > (is_stream_ ? kMaxFirstEventBytes : kMaxUnstreamedBytes))
         return on_malformed_response();
     body_.append(bytes);
     if (!is_stream_ || !has_complete_event(body_)) return;
--- a/tests/life/back-pressure.test.mjs
+++ b/tests/life/back-pressure.test.mjs
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import { after, before, test } from 'node:test';
-import { Discovery, Engine, Gateway, sleep, waitUntil } from './platform.mjs';
+import { rawRequest, sleep, startDeployment, stopDeployment } from './platform.mjs';
 
 const KIBIBYTE = 1024;
 const BODY_LIMIT_BYTES = 256 * KIBIBYTE;  // "No body exceeds 256 KiB"
@@ -10,17 +10,8 @@
 const FIRST_TOKEN_LIMIT_MS = 300;  // beside such streams; the time within which events have to be forwarded
 
 let prefillEngine, decodeEngine, discovery, gateway;
-before(async () => {
-  prefillEngine = await new Engine().start('r1', 'read');
-  decodeEngine = await new Engine().start('w1', 'write');
-  discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
-  gateway = await new Gateway().start(discovery.port, [prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
-  await waitUntil('the gateway to have the list and watch for changes', () => discovery.pendingWatches.length === 1);
-});
-after(async () => {
-  assert.deepEqual(await gateway.stop(), { code: 0, signal: null });
-  for (const service of [prefillEngine, decodeEngine, discovery]) service.stop();
-});
+before(async () => { ({ prefillEngine, decodeEngine, discovery, gateway } = await startDeployment()); });
+after(() => stopDeployment({ prefillEngine, decodeEngine, discovery, gateway }));
 
 const streamHead = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
 const chunk = (text) => `${text.length.toString(16)}\r\n${text}\r\n`;
@@ -32,8 +23,7 @@
     this.txn = txn;
     this.sentAt = Date.now();
     this.ended = new Promise((resolve) => {
-      this.socket = net.connect(gateway.port, '127.0.0.1', () => this.socket.write('POST /v1/chat/completions HTTP/1.1\r\n' +
-        `x-txn: ${txn}\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: 2500m\r\nconnection: close\r\ncontent-length: 2\r\n\r\n{}`));
+      this.socket = net.connect(gateway.port, '127.0.0.1', () => this.socket.write(rawRequest(txn, { headers: 'connection: close\r\n' })));
       this.socket.on('data', (bytes) => { this.text += bytes; this.lastByteAt = Date.now(); this.firstByteAt ||= this.lastByteAt; });
       this.socket.on('error', () => {});
       this.socket.on('close', () => { this.endedAt = Date.now(); resolve(); });
--- a/tests/life/drain.test.mjs
+++ b/tests/life/drain.test.mjs
@@ -3,7 +3,7 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import { after, before, test } from 'node:test';
-import { Discovery, Engine, Gateway, sleep, waitUntil } from './platform.mjs';
+import { Gateway, rawRequest, sleep, startServices, waitUntil } from './platform.mjs';
 
 // "whatever SIGKILL finds unanswered, if that request arrived more than 0.7 s after SIGTERM"; time limits are 50 ms longer.
 const EXCUSED_MS = 700 + 50;
@@ -15,8 +15,7 @@
 
 let prefillEngine, decodeEngine, discovery;
 before(async () => {
-  prefillEngine = await new Engine().start('r1', 'read');
-  decodeEngine = await new Engine().start('w1', 'write');
+  ({ prefillEngine, decodeEngine, discovery } = await startServices());
   decodeEngine.handler = (request, response) => {
     if (request.method !== 'POST') return false;
     response.writeHead(200, { 'content-type': 'text/event-stream' });
@@ -29,13 +28,9 @@
     response.on('close', () => clearInterval(interval));
     return true;
   };
-  discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
 });
 after(() => { for (const service of [prefillEngine, decodeEngine, discovery]) service.stop(); });
 
-const requestText = (txn) => `POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${txn}\r\nx-lane: chat\r\nx-org: acme\r\n` +
-  'x-remaining: 2900m\r\ncontent-length: 20\r\n\r\n' + 'x'.repeat(20);
-
 // A client of one request at a time. `requests`: what became of each.
 class Client {
   requests = []; received = ''; ended = false; error = null;
@@ -50,7 +45,7 @@
   }
   // Writes the request in `pieces`, evenly, the last byte at `lastByteAt`; waits for the end of its answer or of the connection.
   async run(txn, lastByteAt, pieces) {
-    const text = requestText(txn), request = { txn, sentAt: 0, status: 0, whole: false };
+    const text = rawRequest(txn, { remainingMs: 2900, body: 'x'.repeat(20) }), request = { txn, sentAt: 0, status: 0, whole: false };
     const from = Date.now(), interval = Math.max(0, lastByteAt - from) / Math.max(1, pieces - 1);
     this.received = '';
     for (let piece = 0; piece < pieces && !this.ended && !this.error; ++piece) {
@@ -77,7 +72,7 @@
 
 // Plays one planned restart; resolves with the requests, their times in ms since SIGTERM, and the clients.
 async function restart({ resume, deadlineMs }) {
-  const gateway = await new Gateway().start(discovery.port, [prefillEngine.hostEntry(), decodeEngine.hostEntry()], { resume, deadlineMs });
+  const gateway = await new Gateway().start(discovery.port, discovery.hosts, { resume, deadlineMs });
   await waitUntil('a watch', () => discovery.pendingWatches.length > 0);
   const killAfterMs = Math.min(deadlineMs, MAX_DEADLINE_MS) + KILL_DELAY_MS;
   const termAt = Date.now() + 100, clients = [], running = [];
--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -8,20 +8,11 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, test } from 'node:test';
-import { Discovery, Engine, Gateway, findFreePort, listen, program, sleep, waitUntil } from './platform.mjs';
+import { Discovery, Engine, Gateway, findFreePort, listen, program, rawRequest, sleep, startDeployment, stopDeployment, waitUntil } from './platform.mjs';
 
 let prefillEngine, decodeEngine, discovery, gateway;
-before(async () => {
-  prefillEngine = await new Engine().start('r1', 'read');
-  decodeEngine = await new Engine().start('w1', 'write');
-  discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
-  gateway = await new Gateway().start(discovery.port, [prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
-  await waitUntil('the gateway to have the list and watch for changes', () => discovery.pendingWatches.length === 1);
-});
-after(async () => {
-  assert.deepEqual(await gateway.stop(), { code: 0, signal: null });
-  for (const service of [prefillEngine, decodeEngine, discovery]) service.stop();
-});
+before(async () => { ({ prefillEngine, decodeEngine, discovery, gateway } = await startDeployment()); });
+after(() => stopDeployment({ prefillEngine, decodeEngine, discovery, gateway }));
 
 test('a request is forwarded unchanged to the prefill and the decode engine, and the events are returned to the client', async () => {
   const response = await gateway.sendRequest('id-1');
@@ -56,10 +47,8 @@
 
 test('pipelined requests on one connection are served in order, however the bytes are split', async () => {
   decodeEngine.handler = () => false;
-  const pipelinedRequest = (id) => `POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\n` +
-    `x-remaining: 2500m\r\ncontent-length: 2\r\n\r\n{}`;
   for (const pieceBytes of [10, 200, 100000]) {
-    const bytes = pipelinedRequest(`a-${pieceBytes}`) + pipelinedRequest(`b-${pieceBytes}`) + 'GET /nothing HTTP/1.1\r\n\r\n';
+    const bytes = rawRequest(`a-${pieceBytes}`) + rawRequest(`b-${pieceBytes}`) + 'GET /nothing HTTP/1.1\r\n\r\n';
     const text = await new Promise((resolve) => {
       let received = '';
       const socket = net.connect(gateway.port, '127.0.0.1', async () => {
@@ -176,10 +165,6 @@
   assert.ok(Date.now() - began < 3700);
 });
 
-// A chat completion request as raw bytes.
-const rawRequest = (id, extra = '') => `POST /v1/chat/completions HTTP/1.1\r\nx-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\n` +
-  `x-remaining: 2500m\r\n${extra}content-length: 2\r\n\r\n{}`;
-
 test('SIGTERM before the listener is open, once, twice and mixed with SIGHUP, ends the gateway with 0', async () => {
   let connectionCount = 0;
   const unresponsive = net.createServer(() => { ++connectionCount; });
@@ -309,7 +294,7 @@
   };
   const load = Array.from({ length: 150 }, (_, i) => sleep(4 * i).then(() => gateway.sendRequest(`load-${i}`)));
   await new Promise((resolve) => {
-    const socket = net.connect(gateway.port, '127.0.0.1', () => socket.write(rawRequest('pace-1', 'connection: close\r\n')));
+    const socket = net.connect(gateway.port, '127.0.0.1', () => socket.write(rawRequest('pace-1', { headers: 'connection: close\r\n' })));
     socket.on('data', (chunk) => {
       const events = String(chunk).match(/data: \d+/g) ?? [];
       events.forEach(() => receivedAt.push(Date.now()));
--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -81,6 +81,29 @@
   stop() { for (const socket of this.sockets) socket.destroy(); this.server.close(); }
 }
 
+// The bytes of a chat completion request. `headers`: further header lines, each ended.
+export const rawRequest = (id, { headers = '', remainingMs = 2500, body = '{}' } = {}) => 'POST /v1/chat/completions HTTP/1.1\r\n' +
+  `x-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: ${remainingMs}m\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`;
+
+// A prefill engine, a decode engine, and a discovery service that lists both.
+export async function startServices() {
+  const prefillEngine = await new Engine().start('r1', 'read');
+  const decodeEngine = await new Engine().start('w1', 'write');
+  const discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
+  return { prefillEngine, decodeEngine, discovery };
+}
+// The same with a gateway, which watches discovery for changes.
+export async function startDeployment() {
+  const services = await startServices(), { discovery } = services;
+  const gateway = await new Gateway().start(discovery.port, discovery.hosts);
+  await waitUntil('the gateway to have the list and watch for changes', () => discovery.pendingWatches.length === 1);
+  return { ...services, gateway };
+}
+export async function stopDeployment({ gateway, ...services }) {
+  assert.deepEqual(await gateway.stop(), { code: 0, signal: null });
+  for (const service of Object.values(services)) service.stop();
+}
+
 // A process of `gorsenotch node`.
 export class Gateway {
   stderr = ''; guarantees = {}; resume = true; deadlineMs = 3000;
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -37,8 +37,7 @@
     std::size_t begin_stream(BlockingClient& peer, const std::string& txn) {
         peer.send(post_request(txn));
         run_until([&] { return times_sent(txn) == 1; });
-        environment.exchanges.back().exchange->on_data(
-            "HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+        environment.exchanges.back().exchange->on_data(kPrefillAnswer);
         run_until([&] { return times_sent(txn) == 2; });
         const std::size_t index = environment.exchanges.size() - 1;
         environment.exchanges[index].exchange->on_data(kStreamHead + chunked("data: a\n\n"));
@@ -49,14 +48,19 @@
     }
     bool is_paused(std::size_t index) const { return environment.exchanges[index].paused; }
     int pauses(std::size_t index) const { return environment.exchanges[index].pauses; }
-    // Advances the clock of the lifecycle, which is not the event loop's, and runs its timers.
-    void advance(Millis duration) {
-        for (const Millis end = environment.now_ms + duration; environment.now_ms < end;) {
-            environment.now_ms += 100;
-            lifecycle.after_poll(environment.now_ms);
-            lifecycle.tick();
-            lifecycle.before_poll(environment.now_ms + 100);
-        }
+    // The clock of the lifecycle is not the event loop's.
+    void advance(Millis duration) { advance_clock(environment, lifecycle, duration, 100); }
+    void finish_stream(BlockingClient& peer, std::size_t index) {
+        receive(index, "0\r\n\r\n");
+        run_until([&] { return has_last_chunk(peer); });
+    }
+    // Sends a request whose answer comes as a burst: its stream is paused once, resumed, and delivered whole.
+    void expect_pause_and_resume(BlockingClient& peer, const std::string& txn) {
+        const std::size_t stream = begin_stream(peer, txn);
+        receive(stream, in_small_chunks(kLongAnswerBytes));
+        EXPECT_EQ(pauses(stream), 1);
+        run_until([&] { return !is_paused(stream); });
+        finish_stream(peer, stream);
     }
     static bool has_last_chunk(BlockingClient& peer) {
         peer.read_available();
@@ -68,12 +72,7 @@
 // no queued write is left whose end would resume the stream.
 TEST_F(BackPressureTest, AStreamPausedByABurstIsResumedWhenTheKernelTakesAllOfItAtOnce) {
     BlockingClient peer(clients->port());
-    const std::size_t stream = begin_stream(peer, "t1");
-    receive(stream, in_small_chunks(kLongAnswerBytes));
-    EXPECT_EQ(pauses(stream), 1);
-    run_until([&] { return !is_paused(stream); });
-    receive(stream, "0\r\n\r\n");
-    run_until([&] { return has_last_chunk(peer); });
+    expect_pause_and_resume(peer, "t1");
 }
 
 // Guards against back-pressure that ends with the first request of a connection: the pause of an answer that
@@ -84,12 +83,7 @@
     receive(first, in_small_chunks(kLongAnswerBytes) + "0\r\n\r\n");
     run_until([&] { return has_last_chunk(peer); });
     peer.text.clear();
-    const std::size_t second = begin_stream(peer, "t2");
-    receive(second, in_small_chunks(kLongAnswerBytes));
-    EXPECT_EQ(pauses(second), 1);
-    run_until([&] { return !is_paused(second); });
-    receive(second, "0\r\n\r\n");
-    run_until([&] { return has_last_chunk(peer); });
+    expect_pause_and_resume(peer, "t2");
 }
 
 // Guards against a resume that no longer waits for the client: then a slow client beside a fast endpoint
@@ -103,10 +97,9 @@
     EXPECT_TRUE(is_paused(stream));
     EXPECT_EQ(lifecycle.paused_streams(), 1u);
     EXPECT_GT(clients->unsent_bytes(), kLongAnswerBytes);
-    EXPECT_EQ(environment.exchanges[stream].pauses, 1);
+    EXPECT_EQ(pauses(stream), 1);
     run_until([&] { return peer.read_available(), !is_paused(stream); });
-    receive(stream, "0\r\n\r\n");
-    run_until([&] { return has_last_chunk(peer); });
+    finish_stream(peer, stream);
     EXPECT_EQ(lifecycle.paused_streams(), 0u);
 }
 
--- a/tests/platform/client_connections_fixture.h
+++ b/tests/platform/client_connections_fixture.h
@@ -66,7 +66,7 @@
             } else if (started.address == "10.0.0.3:1") {
                 started.exchange->on_data(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
             } else {
-                started.exchange->on_data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+                started.exchange->on_data(kPrefillAnswer);
             }
         }
     }
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -340,7 +340,7 @@
     for (int i = 0; i < kRequests; ++i) {
         send_request("earlier" + std::to_string(i), client);
         advance(650);
-        latest_attempt()->on_data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+        latest_attempt()->on_data(kPrefillAnswer);
         latest_attempt()->on_data(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
         answer_all_releases();
     }
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -36,6 +36,7 @@
 
 inline const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+inline const std::string kPrefillAnswer = "HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}";
 inline std::string chunked(const std::string& text) { return http::chunk(text); }
 
 // Records the answer to its request.
@@ -119,6 +120,17 @@
     void log(const char*, const char*, const std::string&) override {}
 };
 
+// Advances the fake clock by `duration` in steps and runs the lifecycle's timers that become due.
+inline void advance_clock(FakeEnvironment& environment, RequestLifecycle& lifecycle, Millis duration,
+                          Millis step) {
+    for (const Millis end = environment.now_ms + duration; environment.now_ms < end;) {
+        environment.now_ms += step;
+        lifecycle.after_poll(environment.now_ms);
+        lifecycle.tick();
+        lifecycle.before_poll(environment.now_ms + step);
+    }
+}
+
 // Connects a RequestLifecycle to the fakes; each test has to leave no request, attempt or release behind.
 struct PlatformTest : ::testing::Test {
     explicit PlatformTest(const std::string& text = kConfig) : config(parse_config(text, "", "")) {}
@@ -149,19 +161,11 @@
         inbound.arrival.prompt_tokens = 100;
         return lifecycle.on_request(std::move(inbound), 0, &recorder);
     }
-    // Advances the clock and runs the timers that become due.
-    void advance(Millis duration) {
-        for (const Millis end = environment.now_ms + duration; environment.now_ms < end;) {
-            environment.now_ms += 5;
-            lifecycle.after_poll(environment.now_ms);
-            lifecycle.tick();
-            lifecycle.before_poll(environment.now_ms + 5);
-        }
-    }
+    void advance(Millis duration) { advance_clock(environment, lifecycle, duration, 5); }
     FakeEnvironment::StartedExchange& last_exchange() { return environment.exchanges.back(); }
     // Delivers response bytes to the exchange that was started last.
     void answer(const std::string& bytes) { last_exchange().exchange->on_data(bytes); }
-    void answer_prefill() { answer("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}"); }
+    void answer_prefill() { answer(kPrefillAnswer); }
     std::size_t release_calls() const {
         return static_cast<std::size_t>(std::count_if(
             environment.exchanges.begin(), environment.exchanges.end(),
--- a/tests/platform/request_lifecycle_test.cpp
+++ b/tests/platform/request_lifecycle_test.cpp
@@ -120,7 +120,7 @@
                 sent.exchange->on_data("HTTP/1.1 503 no\r\nx-turned-away: 1\r\ncontent-length: 0\r\n\r\n");
             } else if (sent.address != "10.0.0.3:1") {
                 leased.insert(txn(sent));
-                sent.exchange->on_data("HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}");
+                sent.exchange->on_data(kPrefillAnswer);
             } else if (behaviour == 3) {
                 sent.exchange->on_data("noise");
             } else {
