node: the rest of an ended answer is sent for as long as its client reads

Callers saw the last answer of a connection end in its middle: 5 s after the gateway had the whole of it, a client that was still reading lost the rest. The time limit was for handing all of it to the system, and only the end of the whole write was seen; reading did not move it on.

control::ClientProgress, used for paused streams already, now judges this too: acknowledged bytes move the time on.

--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -14,7 +14,6 @@
 constexpr std::size_t kKibibyte = 1024;
 constexpr http::Limits kRequestLimits{16 * kKibibyte, 64, kMaxBodyBytes};
 constexpr Millis kLingerTimeout = 500;  // from this side's FIN to the client's
-constexpr Millis kFlushTimeout = 5000;  // before the FIN, for a slow client to read the buffered output
 constexpr std::size_t kMaxPipelinedBytes = 8 * kKibibyte;
 constexpr std::size_t kMaxDiscardedBytes = 256 * kKibibyte;
 // Buffered bytes of an answer above which reading from its endpoint is paused.
@@ -41,6 +40,7 @@
       group_(group),
       stream_(std::move(stream)),
       parser_(http::Parser::Kind::request, kRequestLimits),
+      progress_(group.limits.stall_timeout),
       last_activity_(net::now()) {}
 
 void ClientConnection::start() {
@@ -294,6 +294,7 @@
     state_ = State::ending;
     ++group_.ending;
     last_activity_ = net::now();
+    progress_.start(last_activity_, acknowledged_bytes());
     pipelined_ = std::string();
     inbound_.reset();
     release_body_bytes();
@@ -337,8 +338,7 @@
     const ClientConnectionLimits& limits = group_.limits;
     if (state_ == State::open || state_ == State::gone) return;
     if (state_ == State::ending) {
-        const Millis timeout = stream_->queued() > 0 ? kFlushTimeout : kLingerTimeout;
-        if (now - last_activity_ > timeout) close();
+        if (is_end_overdue(now)) close();
     } else if (request_began_at_) {
         if (is_request_overdue(now)) reject(408, "request not received completely in time");
     } else if (fresh_) {
@@ -348,6 +348,12 @@
     }
 }
 
+// The rest of an answer is sent for as long as its client takes it.
+bool ClientConnection::is_end_overdue(Millis now) {
+    progress_.record(now, acknowledged_bytes());
+    return now > (stream_->queued() > 0 ? progress_.stalls_at() : last_activity_ + kLingerTimeout);
+}
+
 bool ClientConnection::is_request_overdue(Millis now) const {
     const Millis timeout = group_.limits.request_timeout;
     if (now - *request_began_at_ >= timeout) return true;
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -18,6 +18,7 @@
 #include <string>
 #include <string_view>
 
+#include "control/client_progress.h"
 #include "control/send_preconditions.h"
 #include "gorsenotch/settings.h"
 #include "http/parser.h"
@@ -53,6 +54,8 @@
     Millis request_timeout = 2000;  // from the first to the last byte of a request; also for a first request
     Millis min_idle = 2000;         // idle time before a connection may be closed to make room
     Millis max_idle = 10000;        // idle time after which a connection is closed
+    // A client that acknowledges nothing of the rest of its answer for this long is disconnected.
+    Millis stall_timeout = control::ClientProgress::kStallTimeout;
 };
 
 // Counts since the start, for the status line.
@@ -185,6 +188,7 @@
     void release_body_bytes();
     void send(std::string_view bytes);
     bool is_last_answer() const;
+    bool is_end_overdue(Millis now);
     bool is_request_overdue(Millis now) const;
 
     Owner& owner_;
@@ -192,13 +196,14 @@
     std::unique_ptr<net::TcpStream> stream_;
     http::Parser parser_;
     State state_ = State::reading;
-    std::optional<Inbound> inbound_;   // the request whose body is being read
-    bool is_readiness_check_ = false;  // the request being read is a readiness check
-    std::uint64_t handle_ = 0;         // RequestLifecycle's handle of the open request; 0: none
-    std::string pipelined_;            // input received behind the open request
-    std::string output_;               // written by the next flush
-    std::size_t body_bytes_ = 0;       // of inbound_, as counted in the group
-    std::size_t discarded_bytes_ = 0;  // while ending
+    std::optional<Inbound> inbound_;    // the request whose body is being read
+    bool is_readiness_check_ = false;   // the request being read is a readiness check
+    std::uint64_t handle_ = 0;          // RequestLifecycle's handle of the open request; 0: none
+    std::string pipelined_;             // input received behind the open request
+    std::string output_;                // written by the next flush
+    std::size_t body_bytes_ = 0;        // of inbound_, as counted in the group
+    std::size_t discarded_bytes_ = 0;   // while ending
+    control::ClientProgress progress_;  // while ending
     Millis last_activity_ = 0;
     std::optional<Millis> request_began_at_;  // when the first byte of the request being read was received
     bool fresh_ = true;
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -34,8 +34,8 @@
     static constexpr std::size_t kLongAnswerBytes = std::size_t{200} * 1024;
 
     // Sends a request and lets its stream begin; returns the index of its decode exchange.
-    std::size_t begin_stream(BlockingClient& peer, const std::string& txn) {
-        peer.send(post_request(txn));
+    std::size_t begin_stream(BlockingClient& peer, const std::string& txn, const std::string& header = "") {
+        peer.send(replace_once(post_request(txn), "x-lane", header + "x-lane"));
         run_until([&] { return times_sent(txn) == 1; });
         environment.exchanges.back().exchange->on_data(kPrefillAnswer);
         run_until([&] { return times_sent(txn) == 2; });
@@ -68,6 +68,24 @@
     }
 };
 
+// A client that has acknowledged nothing for a short time counts as stalled.
+struct ShortStallTimeoutTest : BackPressureTest {
+    static constexpr Millis kStallTimeout = 1000;
+    static constexpr double kReadBytesPerMs = 160;
+
+    void SetUp() override {
+        ClientConnections::Config listener_config;
+        listener_config.limits.stall_timeout = kStallTimeout;
+        start(listener_config);
+    }
+    // Has a long answer end whose client has asked for the close of the connection.
+    void begin_long_last_answer(BlockingClient& peer) {
+        const std::size_t stream = begin_stream(peer, "t1", "connection: close\r\n");
+        limit_send_buffer(peer.port());
+        receive(stream, in_small_chunks(kLongAnswerBytes) + "0\r\n\r\n");
+    }
+};
+
 // Guards against a stream paused for good: a burst exceeds the limit, the kernel takes all of it at once, and
 // no queued write is left whose end would resume the stream.
 TEST_F(BackPressureTest, AStreamPausedByABurstIsResumedWhenTheKernelTakesAllOfItAtOnce) {
@@ -127,5 +145,29 @@
     EXPECT_EQ(peer.text.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a time limit on the rest of an answer that reading does not extend: a client that reads
+// slowly but steadily would lose the end of its answer. One that has stopped reading is still disconnected.
+TEST_F(ShortStallTimeoutTest, TheRestOfAnEndedAnswerIsSentForAsLongAsItsClientReads) {
+    BlockingClient peer(clients->port());
+    begin_long_last_answer(peer);
+    const Millis started_at = net::now();
+    while (!peer.ended && !peer.reset) {
+        run(20);
+        const auto due_bytes = static_cast<std::size_t>(kReadBytesPerMs * (net::now() - started_at));
+        if (due_bytes > peer.text.size()) peer.read_available(due_bytes - peer.text.size());
+    }
+    EXPECT_TRUE(has_last_chunk(peer)) << peer.text.size() << " bytes";
+    EXPECT_GT(net::now() - started_at, 2 * kStallTimeout) << "slow enough to show the fault";
+    EXPECT_FALSE(peer.reset);
+    peer.close();
+    run_until([&] { return clients->connections() == 0; });
+}
+
+TEST_F(ShortStallTimeoutTest, AClientThatDoesNotReadTheRestOfItsAnswerIsDisconnected) {
+    BlockingClient peer(clients->port());
+    begin_long_last_answer(peer);
+    run_until([&] { return clients->connections() == 0; });
+}
+
 }  // namespace
 }  // namespace gorsenotch::test
