serve: the FIN after a large last answer comes at once

Callers that wait for the close saw it 1 s after the answer where the answer exceeded 32 KiB and the kernel took all of it at once.

A closing connection now always schedules a flush, which asks whether all output is with the kernel.

GatewayTest.ALargeLastAnswerIsFollowedByAFinAtOnce failed before (1000.56 ms of 500) and passes; all 16 gateway tests passed under the sanitizers.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -9,7 +9,7 @@
 namespace gorsenotch::gateway {
 namespace {
 
-constexpr Millis kCloseTimeout = 1000;       // how long a closing connection is still read
+constexpr Millis kLingerTimeout = 1000;      // from this side's FIN to the client's
 constexpr Millis kDefaultRetryAfter = 1000;  // where the Router gives no value
 constexpr Millis kMillisPerSecond = 1000;
 
@@ -119,7 +119,7 @@
     if (!stream_) return;
     stream_->write(std::exchange(output_, {}));
     owner_.record_queued_bytes(stream_->queued());
-    if (state_ == State::closing && stream_->queued() == 0) return stream_->shutdown_write();
+    if (state_ == State::closing && stream_->queued() == 0) return linger();
     // Back-pressure: the engine's socket is not read while this client lags behind.
     const bool streaming = stream_begun_ && state_ == State::in_lifecycle;
     if (streaming && !congested_ && stream_->queued() > program_.limits.stream_buffer_bytes) {
@@ -130,13 +130,19 @@
 }
 
 void ClientConnection::on_drain() {
-    if (state_ == State::closing) return output_.empty() ? stream_->shutdown_write() : flush();
+    if (state_ == State::closing) return output_.empty() ? linger() : flush();
     if (!congested_) return;
     congested_ = false;
     timer_.stop();
     lifecycle_.on_client_congested(id_, false);
 }
 
+// All output is with the kernel: sends a FIN and waits for the client's.
+void ClientConnection::linger() {
+    stream_->shutdown_write();
+    timer_.fire_after(kLingerTimeout);
+}
+
 void ClientConnection::finish_response() {
     state_ = State::reading;
     congested_ = false;
@@ -147,8 +153,8 @@
         // Further input is read and discarded: closing a socket with unread bytes would reset the connection,
         // and the client could lose the response.
         stream_->set_reading(true);
-        timer_.fire_after(kCloseTimeout);
-        return;
+        timer_.fire_after(kLingerTimeout);
+        return schedule_output();  // for linger(), as the answer may be with the kernel already
     }
     timer_.fire_after_poll(program_.limits.idle_ms);
     stream_->set_reading(true);
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -90,6 +90,7 @@
     void write(const std::string& bytes);
     void schedule_output();
     void finish_response();
+    void linger();
     void close();
 
     net::EventLoop& loop_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -374,6 +374,20 @@
     flooding_connection->stream->on_drain = nullptr;
 }
 
+// Guards against a close that waits for a queued write to end: the kernel may take a large answer at once.
+TEST_F(GatewayTest, ALargeLastAnswerIsFollowedByAFinAtOnce) {
+    decode_engine.on_request = [](RawEngine&, RawEngine::Connection& connection) {
+        connection.stream->write(stream_head() + delta(std::string(40000, 'x')) + stop_event() +
+                                 usage_event(2) + done_event());
+    };
+    start_gateway();
+    RawClient client(loop, address(), post_request(false, "connection: close\r\n"));
+    ASSERT_TRUE(run_until([&] { return client.received.size() > program.limits.stream_buffer_bytes; }));
+    const Millis received_at = net::now();
+    ASSERT_TRUE(run_until([&] { return client.ended; }));
+    EXPECT_LT(net::now() - received_at, 500);
+}
+
 TEST_F(GatewayTest, RequestIsRejectedWithinItsDeadlineIfThePrefillEngineIsDown) {
     auto stopped_engine = std::make_unique<RawEngine>(loop);
     const std::string stopped_address = stopped_engine->address();
