serve: output is sent for as long as its client reads

Callers that read slowly lost the end of the last answer of a connection 1 s after it, and a stream in which they had not taken all of what was queued within stream-idle-ms (20 s).

control::ClientProgress judges the client while output is queued, by stream-idle-ms; the 1 s counts from the FIN. The idle time of a connection that stays open asks it too.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "net/clock.h"
 #include "net/tcp_stream.h"
 
 namespace gorsenotch::gateway {
@@ -25,7 +26,8 @@
       stream_(std::move(stream)),
       parser_(http::Parser::Kind::request,
               {program.limits.header_bytes, program.limits.headers, program.limits.body_bytes}),
-      timer_(loop, [this] { on_timer(); }) {
+      timer_(loop, [this] { on_timer(); }),
+      progress_(program.limits.stream_idle_ms) {
     stream_->on_data = [this](std::string_view bytes) { on_data(bytes); };
     stream_->on_end = [this](int) { on_disconnected(); };
     stream_->on_drain = [this] { on_drain(); };
@@ -124,7 +126,7 @@
     const bool streaming = stream_begun_ && state_ == State::in_lifecycle;
     if (streaming && !congested_ && stream_->queued() > program_.limits.stream_buffer_bytes) {
         congested_ = true;
-        timer_.fire_after_poll(program_.limits.stream_idle_ms);
+        await_output_taken();
         lifecycle_.on_client_congested(id_, true);
     }
 }
@@ -148,12 +150,12 @@
     congested_ = false;
     timer_.stop();
     if (!stream_) return;
+    await_output_taken();
     if (!keep_alive_) {
         state_ = State::closing;
         // Further input is read and discarded: closing a socket with unread bytes would reset the connection,
         // and the client could lose the response.
         stream_->set_reading(true);
-        timer_.fire_after(kLingerTimeout);
         return schedule_output();  // for linger(), as the answer may be with the kernel already
     }
     timer_.fire_after_poll(program_.limits.idle_ms);
@@ -268,7 +270,23 @@
         state_ = State::replying;
         return reply(error_reply(408, "invalid_request_error", "timed out while reading the request", id_));
     }
-    on_disconnected();
+    if (!still_takes_output()) on_disconnected();
+}
+
+// Starts the time limit on the client's progress.
+void ClientConnection::await_output_taken() {
+    progress_.start(net::now(), stream_->acknowledged_bytes());
+    timer_.fire_after_poll(program_.limits.stream_idle_ms);
+}
+
+// Whether output is queued and the client has acknowledged some of it lately; sets the timer again if so.
+bool ClientConnection::still_takes_output() {
+    if (stream_->queued() == 0) return false;
+    const Millis now = net::now();
+    progress_.record(now, stream_->acknowledged_bytes());
+    if (now >= progress_.stalls_at()) return false;
+    timer_.fire_after_poll(progress_.stalls_at() - now);
+    return true;
 }
 
 void ClientConnection::on_disconnected() {
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "control/client_progress.h"
 #include "gateway/request_intake.h"
 #include "gorsenotch/settings.h"
 #include "http/parser.h"
@@ -81,6 +82,8 @@
     void on_data(std::string_view bytes);
     void on_drain();
     void on_timer();
+    bool still_takes_output();
+    void await_output_taken();
     void on_disconnected();
     void parse(std::string_view bytes);
     void on_headers();
@@ -101,9 +104,10 @@
     http::Parser parser_;
     // The timeout of the current step: idle, request head, request body, congested client or closing.
     net::Timer timer_;
-    std::string id_;              // of the current request
-    std::string buffered_input_;  // bytes received behind the current request
-    std::string output_;          // gathered in this loop turn
+    control::ClientProgress progress_;  // of a client for which output is queued
+    std::string id_;                    // of the current request
+    std::string buffered_input_;        // bytes received behind the current request
+    std::string output_;                // gathered in this loop turn
     HttpRequest request_;
     std::optional<Reply> early_reply_;  // determined by the head; sent once the body was received
     State state_ = State::reading;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,6 +41,7 @@
     void drain(std::function<void()> done);
     // Number of open requests.
     std::size_t open() const { return lifecycle_->open(); }
+    std::size_t connections() const { return server_->connections(); }
     // The most response bytes that have been queued at any time for one client.
     std::size_t peak_queued_bytes() const { return server_->peak_queued_bytes(); }
 
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -13,6 +13,7 @@
 #include "net/tcp_stream.h"
 #include "net/timer.h"
 #include "support/blocking_client.h"
+#include "support/send_buffer.h"
 
 namespace gorsenotch::test {
 namespace {
@@ -374,6 +375,62 @@
     flooding_connection->stream->on_drain = nullptr;
 }
 
+// Clients that read slowly but steadily, and time limits that are short against the time they need.
+struct SlowReaderTest : GatewayTest {
+    static constexpr int kReceiveBufferBytes = 8192;
+    static constexpr int kDeltaBytes = 1000;
+    static constexpr int kDeltas = 120;
+    static constexpr double kReadBytesPerMs = 40;
+    static constexpr Millis kStallTimeout = 1000;
+
+    SlowReaderTest() {
+        program.limits.stream_idle_ms = kStallTimeout;
+        decode_engine.on_request = [](RawEngine&, RawEngine::Connection& connection) {
+            std::string answer = stream_head();
+            for (int i = 0; i < kDeltas; ++i) answer += delta(std::string(kDeltaBytes, 'x'));
+            connection.stream->write(answer + stop_event() + usage_event(2) + done_event());
+        };
+        start_gateway();
+    }
+    std::unique_ptr<BlockingClient> send_request(const std::string& request) {
+        auto client = std::make_unique<BlockingClient>(gateway_under_test->port(), kReceiveBufferBytes);
+        client->send(request);
+        EXPECT_TRUE(run_until([&] { return gateway_under_test->open() == 1; }));
+        limit_send_buffer(client->port());
+        return client;
+    }
+    // Reads slowly until `text` is received or the connection has ended.
+    void read_slowly_until(BlockingClient& client, const std::string& text) {
+        const Millis started_at = net::now();
+        EXPECT_TRUE(run_until([&] {
+            client.read_up_to(kReadBytesPerMs * (net::now() - started_at));
+            return client.ended || client.reset || client.text.find(text) != std::string::npos;
+        }));
+        EXPECT_NE(client.text.find(text), std::string::npos) << client.text.size() << " bytes";
+        EXPECT_GT(net::now() - started_at, 2 * kStallTimeout) << "slow enough to show the fault";
+        EXPECT_FALSE(client.reset);
+    }
+};
+
+// Guards against a time limit on what is queued for a client that reading does not extend: a slow client
+// would lose its stream.
+TEST_F(SlowReaderTest, AStreamIsSentForAsLongAsItsClientReads) {
+    const auto client = send_request(post_request(true));
+    read_slowly_until(*client, "event: message_stop");
+}
+
+// Guards against a time limit on the rest of the last answer of a connection that reading does not extend.
+TEST_F(SlowReaderTest, TheRestOfALastAnswerIsSentForAsLongAsItsClientReads) {
+    const auto client = send_request(post_request(false, "connection: close\r\n"));
+    read_slowly_until(*client, "\"stop_reason\"");
+    EXPECT_TRUE(run_until([&] { return client->read_available(), client->ended; }));
+}
+
+TEST_F(SlowReaderTest, AClientThatDoesNotReadTheRestOfItsAnswerIsDisconnected) {
+    const auto client = send_request(post_request(false, "connection: close\r\n"));
+    EXPECT_TRUE(run_until([&] { return gateway_under_test->connections() == 0; }));
+}
+
 // Guards against a close that waits for a queued write to end: the kernel may take a large answer at once.
 TEST_F(GatewayTest, ALargeLastAnswerIsFollowedByAFinAtOnce) {
     decode_engine.on_request = [](RawEngine&, RawEngine::Connection& connection) {
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -1,28 +1,10 @@
 // Back-pressure: an endpoint is not read while its client lags behind, and is read again afterwards.
-#include <arpa/inet.h>
-#include <sys/socket.h>
-
 #include "platform/client_connections_fixture.h"
+#include "support/send_buffer.h"
 
 namespace gorsenotch::test {
 namespace {
 
-constexpr int kSmallBufferBytes = 4096;
-
-// Has the kernel accept little output for the client at `client_port`: limits the send buffer of this
-// process's end of the connection.
-void limit_send_buffer(int client_port) {
-    constexpr int kMaxDescriptor = 256;
-    for (int descriptor = 0; descriptor < kMaxDescriptor; ++descriptor) {
-        sockaddr_in peer{};
-        socklen_t size = sizeof peer;
-        if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size) != 0) continue;
-        if (ntohs(peer.sin_port) != client_port) continue;
-        EXPECT_EQ(
-            ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &kSmallBufferBytes, sizeof kSmallBufferBytes), 0);
-    }
-}
-
 // A body of `bytes`, in chunks of three bytes: the framing makes the answer several times as long.
 std::string in_small_chunks(std::size_t bytes) {
     std::string text;
@@ -153,8 +135,7 @@
     const Millis started_at = net::now();
     while (!peer.ended && !peer.reset) {
         run(20);
-        const auto due_bytes = static_cast<std::size_t>(kReadBytesPerMs * (net::now() - started_at));
-        if (due_bytes > peer.text.size()) peer.read_available(due_bytes - peer.text.size());
+        peer.read_up_to(kReadBytesPerMs * (net::now() - started_at));
     }
     EXPECT_TRUE(has_last_chunk(peer)) << peer.text.size() << " bytes";
     EXPECT_GT(net::now() - started_at, 2 * kStallTimeout) << "slow enough to show the fault";
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -18,7 +18,11 @@
 // before the loop runs. Only connecting blocks; reading takes what is available.
 class BlockingClient {
 public:
-    explicit BlockingClient(int port) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    // `receive_buffer_bytes`: size of the kernel's buffer for what this client has not read; 0: the default.
+    explicit BlockingClient(int port, int receive_buffer_bytes = 0) : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        if (receive_buffer_bytes > 0) {
+            ::setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof receive_buffer_bytes);
+        }
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_port = htons(static_cast<std::uint16_t>(port));
@@ -61,6 +65,11 @@
             return;
         }
     }
+    // Reads what is available until about `total_bytes` have been received since the start.
+    void read_up_to(double total_bytes) {
+        const auto total = static_cast<std::size_t>(total_bytes);
+        if (total > text.size()) read_available(total - text.size());
+    }
     std::string text;    // received so far
     bool ended = false;  // the server has sent its FIN
     bool reset = false;  // the connection ended with an error
