serve: a request that arrives as the answer before it ends is read

Callers that sent a large request behind another could get 408 after body-ms although all of it had been sent in time: input beyond 16 KiB pauses reading, the end of the open answer resumes it, and what arrived between that end and the reading of the buffered input, one turn of the loop later, paused it again for good.

ClientConnection::update_reading is the one owner: it is asked whenever the buffer or the state changes.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -155,11 +155,11 @@
         state_ = State::closing;
         // Further input is read and discarded: closing a socket with unread bytes would reset the connection,
         // and the client could lose the response.
-        stream_->set_reading(true);
+        update_reading();
         return schedule_output();  // for linger(), as the answer may be with the kernel already
     }
     timer_.fire_after_poll(program_.limits.idle_ms);
-    stream_->set_reading(true);
+    update_reading();
     if (buffered_input_.empty()) return;
     // The next request was received already. It is parsed in a loop turn of its own, so that many pipelined
     // requests do not grow the stack.
@@ -173,13 +173,18 @@
     if (state_ == State::closing) return;
     if (is_answering() || !buffered_input_.empty()) {
         buffered_input_.append(bytes);
-        // Bounds the memory for pipelined input.
-        if (buffered_input_.size() > program_.limits.header_bytes) stream_->set_reading(false);
-        return;
+        return update_reading();
     }
     parse(bytes);
 }
 
+// The only place that pauses or resumes reading: bounds the memory for pipelined input. Has to be called
+// whenever buffered_input_ or the state has changed.
+void ClientConnection::update_reading() {
+    const bool discards_input = state_ == State::closing;
+    stream_->set_reading(discards_input || buffered_input_.size() <= program_.limits.header_bytes);
+}
+
 void ClientConnection::parse(std::string_view bytes) {
     std::string remaining;  // backs `bytes` after the first request
     while (!bytes.empty() && stream_ && state_ != State::closing) {
@@ -193,6 +198,7 @@
         on_request();
         if (state_ != State::reading || !stream_) return;
         remaining = std::exchange(buffered_input_, {});
+        update_reading();
         bytes = remaining;
         if (bytes.empty()) timer_.fire_after_poll(program_.limits.idle_ms);
     }
@@ -262,6 +268,7 @@
     if (!stream_) return;
     if (state_ == State::reading && !buffered_input_.empty()) {
         const std::string next_request = std::exchange(buffered_input_, {});
+        update_reading();
         return parse(next_request);
     }
     if (state_ == State::reading && parser_.has_partial_message()) {
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -80,6 +80,7 @@
     Reply fault_reply() const;
 
     void on_data(std::string_view bytes);
+    void update_reading();
     void on_drain();
     void on_timer();
     bool still_takes_output();
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -171,6 +171,29 @@
     EXPECT_EQ(prefill_engine.requests, 2);
 }
 
+// Guards against input that stays paused: much of the next request arrives between the end of an answer and
+// the reading of what is buffered behind it.
+TEST_F(GatewayTest, ALargeRequestThatArrivesAsAnAnswerEndsIsRead) {
+    constexpr std::size_t kLargeBytes = 100000;
+    program.limits.body_ms = 1000;
+    RawEngine::Connection* decoding = nullptr;
+    const auto serve = decode_engine.on_request;
+    decode_engine.on_request = [&](RawEngine&, RawEngine::Connection& connection) { decoding = &connection; };
+    start_gateway();
+    const std::string large_request = post_request(false, "", std::string(kLargeBytes, 'x'));
+    BlockingClient client(gateway_under_test->port());
+    client.send(post_request(false) + large_request.substr(0, 10));
+    ASSERT_TRUE(run_until([&] { return decoding != nullptr; }));
+    decode_engine.on_request = serve;
+    serve(decode_engine, *decoding);  // in the kernel before the client's bytes, and so read before them
+    client.send(large_request.substr(10));
+    ASSERT_TRUE(run_until([&] {
+        client.read_available();
+        return client.text.find("HTTP/1.1", 1) != std::string::npos;
+    }));
+    EXPECT_EQ(client.text.find("HTTP/1.1 408"), std::string::npos) << client.text;
+}
+
 TEST_F(GatewayTest, AThousandPipelinedRejectionsAreAnswered) {
     start_gateway();
     std::string requests;
