serve: a drain answers half-read requests and waits for clients to take their answers

Callers of a gateway that restarted as planned got no answer to a request of which only a part had been read, and lost the end of a last answer that they were still reading: the drain asked for open requests only and ended 0.2 s after the last one.

The three ways in which a request is given up while it is read share one function; an id is no longer used for two requests.

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -147,6 +147,7 @@
 
 void ClientConnection::finish_response() {
     state_ = State::reading;
+    id_.clear();
     congested_ = false;
     timer_.stop();
     if (!stream_) return;
@@ -233,10 +234,21 @@
 }
 
 void ClientConnection::reject_malformed() {
-    id_ = owner_.next_request_id();
+    abandon_request();
+    reply(fault_reply());
+}
+
+void ClientConnection::reject_incomplete() {
+    if (state_ != State::reading || !parser_.has_partial_message()) return;
+    abandon_request();
+    reply(overloaded_reply());
+}
+
+// Prepares the answer to a request of which no more is read: the last one of this connection.
+void ClientConnection::abandon_request() {
+    if (id_.empty()) id_ = owner_.next_request_id();
     keep_alive_ = false;
     state_ = State::replying;
-    reply(fault_reply());
 }
 
 Reply ClientConnection::fault_reply() const {
@@ -272,9 +284,7 @@
         return parse(next_request);
     }
     if (state_ == State::reading && parser_.has_partial_message()) {
-        if (id_.empty()) id_ = owner_.next_request_id();
-        keep_alive_ = false;
-        state_ = State::replying;
+        abandon_request();
         return reply(error_reply(408, "invalid_request_error", "timed out while reading the request", id_));
     }
     if (!still_takes_output()) on_disconnected();
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -53,6 +53,8 @@
     // stays open, so that a request sent before the drain is rejected with a response and not lost to a
     // reset.
     void close_if_idle();
+    // Rejects a request of which only a part has been received.
+    void reject_incomplete();
     // Writes the output gathered in this loop turn.
     void flush();
 
@@ -90,6 +92,7 @@
     void on_headers();
     void on_request();
     void reject_malformed();
+    void abandon_request();
     void reply(const Reply& reply);
     void write(const std::string& bytes);
     void schedule_output();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
@@ -19,7 +20,8 @@
 constexpr Millis kMinLoggedStall = 100;
 constexpr Millis kSlowTurnLogInterval = 1000;
 constexpr Millis kDrainCheckInterval = 20;
-constexpr Millis kDrainLinger = 200;  // for sending the last answers and lease releases
+constexpr Millis kDrainSettleTime = 200;    // for the last lease releases and for requests still being sent
+constexpr Millis kMinDrainCloseTime = 200;  // for the answers to requests that the drain has ended
 
 // Milliseconds, rounded to the log's resolution of one microsecond.
 double rounded_for_log(Millis duration) { return std::round(1000 * duration) / 1000; }
@@ -206,15 +208,36 @@
     continue_drain();
 }
 
+// Requests that are still being sent are rejected as they become complete, else after the phase `settling`.
 void Gateway::continue_drain() {
-    if (!open_requests_ended_ && lifecycle_->open() > 0 && net::now() < drain_deadline_)
-        return drain_timer_.fire_after(kDrainCheckInterval);
-    if (!open_requests_ended_) {
-        open_requests_ended_ = true;
-        lifecycle_->end_all();
-        return drain_timer_.fire_after(kDrainLinger);
+    server_->close_idle_connections();
+    if (!is_drain_phase_over()) return drain_timer_.fire_after(kDrainCheckInterval);
+    switch (drain_phase_) {
+        case DrainPhase::serving:
+            lifecycle_->end_all();
+            drain_phase_ = DrainPhase::settling;
+            return drain_timer_.fire_after(kDrainSettleTime);
+        case DrainPhase::settling:
+            server_->reject_incomplete_requests();
+            drain_phase_ = DrainPhase::closing;
+            drain_deadline_ = std::max(drain_deadline_, net::now() + kMinDrainCloseTime);
+            return continue_drain();
+        case DrainPhase::closing:
+            if (on_drained_) on_drained_();
     }
-    if (on_drained_) on_drained_();
+}
+
+bool Gateway::is_drain_phase_over() const {
+    const bool timed_out = net::now() >= drain_deadline_;
+    switch (drain_phase_) {
+        case DrainPhase::serving:
+            return timed_out || lifecycle_->open() == 0;
+        case DrainPhase::settling:
+            return true;  // it has a fixed length
+        case DrainPhase::closing:
+            return timed_out || server_->connections() == 0;
+    }
+    return true;
 }
 
 }  // namespace gorsenotch::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,8 +36,8 @@
     int start();
     int port() const { return server_->port(); }
     // Accepts the connections in the accept queue, closes the listener, rejects requests that still arrive on
-    // open connections, lets open requests finish within limits.drain_ms, answers the rest with an error,
-    // then calls `done`.
+    // open connections, lets open requests finish and clients read their answers within limits.drain_ms,
+    // answers the rest with an error, then calls `done`.
     void drain(std::function<void()> done);
     // Number of open requests.
     std::size_t open() const { return lifecycle_->open(); }
@@ -61,6 +61,7 @@
     void save_endpoint_list(std::string text);
     void on_slow_iteration(Millis length, const net::EventLoop::Activities& activities);
     void continue_drain();
+    bool is_drain_phase_over() const;
 
     net::EventLoop& loop_;
     const settings::ProgramSettings program_;
@@ -82,7 +83,12 @@
     proxy::WakeupTimer wakeup_timer_;
     net::Timer drain_timer_;
     net::Timer save_retry_timer_;
-    bool open_requests_ended_ = false;  // the drain has ended every open request
+    enum class DrainPhase {
+        serving,   // open requests finish
+        settling,  // every request has its final answer; leases are released
+        closing,   // clients read what is left of their answers
+    };
+    DrainPhase drain_phase_ = DrainPhase::serving;
     Millis drain_deadline_ = 0;
     std::function<void()> on_drained_;
     std::unique_ptr<net::FileWatcher> fleet_watcher_;
--- a/src/gateway/http_server.cpp
+++ b/src/gateway/http_server.cpp
@@ -109,10 +109,18 @@
     // Connections still in the accept queue are answered too; closing the listener would reset them.
     if (listener_) listener_->accept_all_pending();
     listener_.reset();
+    close_idle_connections();
+}
+
+void HttpServer::close_idle_connections() { for_each_connection(&ClientConnection::close_if_idle); }
+
+void HttpServer::reject_incomplete_requests() { for_each_connection(&ClientConnection::reject_incomplete); }
+
+void HttpServer::for_each_connection(void (ClientConnection::*call)()) {
     std::vector<ClientConnection*> open;  // a copy, since closing a connection changes the list
     open.reserve(connections_.size());
     for (auto& connection : connections_) open.push_back(connection.get());
-    for (auto* connection : open) connection->close_if_idle();
+    for (auto* connection : open) (connection->*call)();
 }
 
 }  // namespace gorsenotch::gateway
--- a/src/gateway/http_server.h
+++ b/src/gateway/http_server.h
@@ -31,6 +31,9 @@
     // Stops accepting: closes the listener and idle connections. Requests that still arrive on open
     // connections are rejected.
     void drain();
+    void close_idle_connections();
+    // Rejects the requests of which only a part has been received.
+    void reject_incomplete_requests();
     std::size_t connections() const { return connections_.size(); }
     // The largest number of bytes queued at any time for one client, beyond the kernel's buffers.
     std::size_t peak_queued_bytes() const { return peak_queued_bytes_; }
@@ -48,6 +51,7 @@
     void on_accepted(std::unique_ptr<net::TcpStream> stream);
     void on_accept_error(int error);
     void flush_all();
+    void for_each_connection(void (ClientConnection::*call)());
 
     net::EventLoop& loop_;
     const settings::ProgramSettings& program_;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -538,6 +538,84 @@
     }
 }
 
+// A drain while no request is open; the process ends as it is done.
+struct DrainWithoutOpenRequestsTest : GatewayTest {
+    bool done = false;
+
+    // Drains, and lets the client read up to the end of the drain.
+    void drain(BlockingClient& client) {
+        gateway_under_test->drain([&] {
+            done = true;
+            client.read_available();
+        });
+    }
+    static void expect_whole_refusal(const BlockingClient& client) {
+        EXPECT_EQ(client.text.rfind("HTTP/1.1 529", 0), 0u) << client.text;
+        EXPECT_TRUE(client.text.ends_with("}")) << client.text;
+        EXPECT_TRUE(client.ended);
+        EXPECT_FALSE(client.reset);
+    }
+};
+
+// Guards against a request without any answer: half of it was read as the process ended.
+TEST_F(DrainWithoutOpenRequestsTest, ARequestThatIsStillBeingSentIsRefused) {
+    start_gateway();
+    BlockingClient client(gateway_under_test->port());
+    const std::string request = post_request(false);
+    client.send(request.substr(0, request.size() / 2));
+    run_for(20);
+    drain(client);
+    run_for(400);
+    client.send(request.substr(request.size() / 2));
+    ASSERT_TRUE(run_until([&] { return done; }));
+    expect_whole_refusal(client);
+}
+
+// The same for a request whose rest does not come.
+TEST_F(DrainWithoutOpenRequestsTest, ARequestWhoseRestDoesNotComeIsRefused) {
+    start_gateway();
+    BlockingClient client(gateway_under_test->port());
+    client.send("POST /v1/messages HTTP/1.1\r\nhost:");
+    run_for(20);
+    const Millis started_at = net::now();
+    drain(client);
+    ASSERT_TRUE(run_until([&] { return done; }));
+    expect_whole_refusal(client);
+    EXPECT_LT(net::now() - started_at, 2000) << "an incomplete request does not hold the drain";
+}
+
+// Guards against a last answer without its end: the client had not taken all of it as the process ended.
+TEST_F(SlowReaderTest, ADrainEndsAfterTheRestOfAnAnswerIsSent) {
+    const auto client = send_request(post_request(false));
+    ASSERT_TRUE(run_until([&] { return gateway_under_test->open() == 0; }));
+    bool done = false;
+    gateway_under_test->drain([&] { done = true; });
+    const Millis started_at = net::now();
+    EXPECT_TRUE(run_until([&] {
+        client->read_up_to(kReadBytesPerMs * (net::now() - started_at));
+        return done;
+    }));
+    gateway_under_test.reset();  // as the process ends
+    EXPECT_TRUE(run_until([&] { return client->read_available(), client->ended || client->reset; }));
+    EXPECT_NE(client->text.find("\"stop_reason\""), std::string::npos) << client->text.size() << " bytes";
+    EXPECT_FALSE(client->reset);
+}
+
+// A client that takes nothing does not hold the drain beyond its limit.
+TEST_F(SlowReaderTest, ADrainEndsAtItsLimitWhileAClientDoesNotRead) {
+    constexpr Millis kLongStallTimeout = 20000;
+    program.limits.stream_idle_ms = kLongStallTimeout;
+    program.limits.drain_ms = 500;
+    start_gateway();
+    const auto client = send_request(post_request(false));
+    ASSERT_TRUE(run_until([&] { return gateway_under_test->open() == 0; }));
+    const Millis started_at = net::now();
+    bool done = false;
+    gateway_under_test->drain([&] { done = true; });
+    ASSERT_TRUE(run_until([&] { return done; }));
+    EXPECT_LT(net::now() - started_at, 1500);
+}
+
 TEST_F(GatewayTest, DrainEndsRequestsThatExceedItsTimeLimit) {
     program.limits.drain_ms = 100;
     decode_engine.on_request = [&](RawEngine&, RawEngine::Connection& connection) {
