node, serve: a client that does not read its answers is not read either

One client that wrote requests and read no answer had each of them answered into the process's memory: streams were paused for a client that lags, its own further requests were not.

The next request is not read while over 256 KiB (node) or stream-buffer-bytes (serve) are unsent; update_reading is the one owner. A client that acknowledges nothing for 5 s or stream-idle-ms is disconnected (client_stalled in client_connection_ends).

--- a/src/gateway/client_connection.cpp
+++ b/src/gateway/client_connection.cpp
@@ -133,6 +133,7 @@
 
 void ClientConnection::on_drain() {
     if (state_ == State::closing) return output_.empty() ? linger() : flush();
+    if (std::exchange(awaits_client_, false)) return await_next_request();
     if (!congested_) return;
     congested_ = false;
     timer_.stop();
@@ -159,6 +160,12 @@
         update_reading();
         return schedule_output();  // for linger(), as the answer may be with the kernel already
     }
+    awaits_client_ = stream_->queued() > program_.limits.stream_buffer_bytes;
+    if (awaits_client_) return update_reading();
+    await_next_request();
+}
+
+void ClientConnection::await_next_request() {
     timer_.fire_after_poll(program_.limits.idle_ms);
     update_reading();
     if (buffered_input_.empty()) return;
@@ -179,11 +186,13 @@
     parse(bytes);
 }
 
-// The only place that pauses or resumes reading: bounds the memory for pipelined input. Has to be called
-// whenever buffered_input_ or the state has changed.
+// The only place that pauses or resumes reading: bounds the memory for pipelined input, and for the answers
+// to a client that does not read them. Has to be called whenever buffered_input_, awaits_client_ or the state
+// has changed.
 void ClientConnection::update_reading() {
+    const bool has_room = !awaits_client_ && buffered_input_.size() <= program_.limits.header_bytes;
     const bool discards_input = state_ == State::closing;
-    stream_->set_reading(discards_input || buffered_input_.size() <= program_.limits.header_bytes);
+    stream_->set_reading(has_room || discards_input);
 }
 
 void ClientConnection::parse(std::string_view bytes) {
@@ -197,7 +206,7 @@
         buffered_input_.assign(bytes);
         timer_.stop();
         on_request();
-        if (state_ != State::reading || !stream_) return;
+        if (state_ != State::reading || !stream_ || awaits_client_) return;
         remaining = std::exchange(buffered_input_, {});
         update_reading();
         bytes = remaining;
@@ -278,7 +287,7 @@
 
 void ClientConnection::on_timer() {
     if (!stream_) return;
-    if (state_ == State::reading && !buffered_input_.empty()) {
+    if (state_ == State::reading && !buffered_input_.empty() && !awaits_client_) {
         const std::string next_request = std::exchange(buffered_input_, {});
         update_reading();
         return parse(next_request);
--- a/src/gateway/client_connection.h
+++ b/src/gateway/client_connection.h
@@ -97,6 +97,7 @@
     void write(const std::string& bytes);
     void schedule_output();
     void finish_response();
+    void await_next_request();
     void linger();
     void close();
 
@@ -117,6 +118,7 @@
     State state_ = State::reading;
     bool stream_begun_ = false;
     bool congested_ = false;
+    bool awaits_client_ = false;  // the next request is read once the client has taken what is queued
     bool keep_alive_ = false;
     bool flush_scheduled_ = false;
     bool rejected_ = false;
--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -76,6 +76,18 @@
     }
 }
 
+// The only place that pauses or resumes reading: bounds the memory for the answers to a client that does not
+// read them. Has to be called whenever the output or the state has changed. While an endpoint works, reading
+// goes on, as the client's disconnection has to be noticed.
+void ClientConnection::update_reading() {
+    if (state_ == State::gone) return;
+    const bool paused = state_ == State::reading && is_congested();
+    if (paused == reading_paused_) return;
+    reading_paused_ = paused;
+    if (paused) progress_.start(net::now(), acknowledged_bytes());
+    stream_->set_reading(!paused);
+}
+
 // Buffers input that is pipelined behind an open request. Ends the connection if there is too much, as a
 // guard against clients that pipeline without limit.
 void ClientConnection::buffer_pipelined(std::string_view bytes) {
@@ -100,6 +112,7 @@
         if (parser_.complete()) on_request_complete();
     }
     if (state_ == State::open) pipelined_.append(bytes);
+    update_reading();
 }
 
 // Records when a request started. Empty lines before a request are not part of it (RFC 9112, 2.2).
@@ -256,6 +269,7 @@
     last_activity_ = net::now();
     request_began_at_.reset();
     fresh_ = false;
+    update_reading();
     if (!pipelined_.empty()) return send({});  // read by the scheduled flush
     if (group_.accepting_stopped) close_idle(EndReason::draining);
 }
@@ -281,6 +295,7 @@
 }
 
 void ClientConnection::on_output_sent() {
+    update_reading();
     if (handle_ != 0) group_.lifecycle.on_client_output_sent(handle_);
 }
 
@@ -298,6 +313,7 @@
     pipelined_ = std::string();
     inbound_.reset();
     release_body_bytes();
+    update_reading();
     stream_->shutdown_write();
 }
 
@@ -339,6 +355,8 @@
     if (state_ == State::open || state_ == State::gone) return;
     if (state_ == State::ending) {
         if (is_end_overdue(now)) close();
+    } else if (reading_paused_) {
+        if (is_client_stalled(now)) end(EndReason::client_stalled);
     } else if (request_began_at_) {
         if (is_request_overdue(now)) reject(408, "request not received completely in time");
     } else if (fresh_) {
@@ -350,8 +368,13 @@
 
 // The rest of an answer is sent for as long as its client takes it.
 bool ClientConnection::is_end_overdue(Millis now) {
+    const bool stalled = is_client_stalled(now);
+    return stream_->queued() > 0 ? stalled : now > last_activity_ + kLingerTimeout;
+}
+
+bool ClientConnection::is_client_stalled(Millis now) {
     progress_.record(now, acknowledged_bytes());
-    return now > (stream_->queued() > 0 ? progress_.stalls_at() : last_activity_ + kLingerTimeout);
+    return now > progress_.stalls_at();
 }
 
 bool ClientConnection::is_request_overdue(Millis now) const {
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -41,11 +41,13 @@
     draining,           // this process is stopping
     bad_request,        // a request was malformed, or incomplete at its timeout
     pipeline_overflow,  // too many bytes were pipelined behind an open request
-    stream_broken       // a stream was aborted, because it broke or was migrated
+    stream_broken,      // a stream was aborted, because it broke or was migrated
+    client_stalled      // its client does not read its answers
 };
-constexpr std::array<const char*, 10> kEndReasonNames = {
-    "closed_by_peer", "close_requested", "idle",        "request_timeout",   "evicted",
-    "at_capacity",    "draining",        "bad_request", "pipeline_overflow", "stream_broken"};
+constexpr std::array<const char*, 11> kEndReasonNames = {
+    "closed_by_peer",    "close_requested", "idle",          "request_timeout",
+    "evicted",           "at_capacity",     "draining",      "bad_request",
+    "pipeline_overflow", "stream_broken",   "client_stalled"};
 
 // Limits of client connections; times are ms.
 struct ClientConnectionLimits {
@@ -169,6 +171,7 @@
     void on_data(std::string_view bytes);
     void on_drain();
     void on_output_sent();
+    void update_reading();
     void on_closed_by_peer();
     void buffer_pipelined(std::string_view bytes);
     void read(std::string_view bytes);
@@ -189,6 +192,7 @@
     void send(std::string_view bytes);
     bool is_last_answer() const;
     bool is_end_overdue(Millis now);
+    bool is_client_stalled(Millis now);
     bool is_request_overdue(Millis now) const;
 
     Owner& owner_;
@@ -203,10 +207,11 @@
     std::string output_;                // written by the next flush
     std::size_t body_bytes_ = 0;        // of inbound_, as counted in the group
     std::size_t discarded_bytes_ = 0;   // while ending
-    control::ClientProgress progress_;  // while ending
+    control::ClientProgress progress_;  // while ending, or while reading is paused
     Millis last_activity_ = 0;
     std::optional<Millis> request_began_at_;  // when the first byte of the request being read was received
     bool fresh_ = true;
+    bool reading_paused_ = false;  // as the client does not read its answers
 };
 
 }  // namespace gorsenotch::platform
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -468,6 +468,30 @@
     EXPECT_LT(net::now() - received_at, 500);
 }
 
+// Guards against memory that grows without bound: a client sends requests and does not read their answers.
+// Once it reads them, all of its requests are answered.
+TEST_F(GatewayTest, AClientThatDoesNotReadItsAnswersIsNotReadEither) {
+    start_gateway();
+    BlockingClient client(gateway_under_test->port());
+    run_for(5);
+    limit_send_buffer(client.port());
+    const std::string request = "GET /nowhere HTTP/1.1\r\nhost: x\r\n\r\n";
+    std::string requests;
+    for (int i = 0; i < 1000; ++i) requests += request;
+    std::size_t sent_bytes = 0;
+    for (int i = 0; i < 4; ++i) {
+        sent_bytes += client.send_available(requests.substr(sent_bytes % request.size()));
+        run_for(50);
+    }
+    EXPECT_LT(gateway_under_test->peak_queued_bytes(), 4 * program.limits.stream_buffer_bytes);
+    const std::size_t whole_requests = sent_bytes / request.size();
+    EXPECT_TRUE(run_until([&] {
+        client.read_available();
+        return client.count("HTTP/1.1 404") == whole_requests;
+    })) << client.count("HTTP/1.1 404")
+        << " of " << whole_requests;
+}
+
 TEST_F(GatewayTest, RequestIsRejectedWithinItsDeadlineIfThePrefillEngineIsDown) {
     auto stopped_engine = std::make_unique<RawEngine>(loop);
     const std::string stopped_address = stopped_engine->address();
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -44,6 +44,24 @@
         run_until([&] { return !is_paused(stream); });
         finish_stream(peer, stream);
     }
+    // Sends readiness checks for as long as they are read; returns the number of those sent whole.
+    std::size_t send_without_reading(BlockingClient& peer) {
+        constexpr std::size_t kMaxUnsentBytes = std::size_t{512} * 1024;
+        const std::string request = "GET /-/ready HTTP/1.1\r\n\r\n";
+        std::string requests;
+        for (int i = 0; i < 1000; ++i) requests += request;
+        run(5);
+        limit_send_buffer(peer.port());
+        std::size_t sent_bytes = 0;
+        std::size_t most_unsent_bytes = 0;
+        for (int i = 0; i < 12; ++i) {
+            sent_bytes += peer.send_available(requests.substr(sent_bytes % request.size()));
+            run(30);
+            most_unsent_bytes = std::max(most_unsent_bytes, clients->unsent_bytes());
+        }
+        EXPECT_LT(most_unsent_bytes, kMaxUnsentBytes);
+        return sent_bytes / request.size();
+    }
     static bool has_last_chunk(BlockingClient& peer) {
         peer.read_available();
         return peer.text.find("\r\n0\r\n\r\n") != std::string::npos;
@@ -144,6 +162,23 @@
     run_until([&] { return clients->connections() == 0; });
 }
 
+// Guards against memory that grows without bound: a client sends requests and does not read their answers.
+// Once it reads them, all of its requests are answered.
+TEST_F(BackPressureTest, AClientThatDoesNotReadItsAnswersIsNotReadEither) {
+    BlockingClient peer(clients->port());
+    const std::size_t requests = send_without_reading(peer);
+    run_until([&] { return peer.read_available(), peer.count("HTTP/1.1 200") == requests; });
+}
+
+// Guards against a client that neither reads its answers nor leaves.
+TEST_F(ShortStallTimeoutTest, AClientThatReadsNoAnswersIsDisconnected) {
+    BlockingClient peer(clients->port());
+    send_without_reading(peer);
+    run(kStallTimeout);
+    run_until([&] { return clients->counters().of(EndReason::client_stalled) == 1; });
+    run_until([&] { return clients->connections() == 0; });
+}
+
 TEST_F(ShortStallTimeoutTest, AClientThatDoesNotReadTheRestOfItsAnswerIsDisconnected) {
     BlockingClient peer(clients->port());
     begin_long_last_answer(peer);
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -8,9 +8,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace gorsenotch::test {
 
@@ -36,6 +38,11 @@
     void send(const std::string& bytes) {
         EXPECT_EQ(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
     }
+    // Sends as much of `bytes` as the kernel accepts at once; returns their number.
+    std::size_t send_available(std::string_view bytes) {
+        return static_cast<std::size_t>(
+            std::max<ssize_t>(0, ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL)));
+    }
     // This client's own port.
     int port() const {
         sockaddr_in address{};
@@ -70,6 +77,12 @@
         const auto total = static_cast<std::size_t>(total_bytes);
         if (total > text.size()) read_available(total - text.size());
     }
+    // How often `part` occurs in the received text.
+    std::size_t count(std::string_view part) const {
+        std::size_t matches = 0;
+        for (std::size_t at = 0; (at = text.find(part, at)) != std::string::npos; ++at) ++matches;
+        return matches;
+    }
     std::string text;    // received so far
     bool ended = false;  // the server has sent its FIN
     bool reset = false;  // the connection ended with an error
