Tests: one function counts the occurrences in received text

The change wrote again, in BlockingClient, the loop that the gateway tests' RawClient and a test of client connections had: all three call count_occurrences now.

--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -14,6 +14,7 @@
 #include "net/timer.h"
 #include "support/blocking_client.h"
 #include "support/send_buffer.h"
+#include "support/text_search.h"
 
 namespace gorsenotch::test {
 namespace {
@@ -90,11 +91,7 @@
         });
     }
     int status() const { return received.size() > 12 ? std::stoi(received.substr(9, 3)) : 0; }
-    std::size_t count(const std::string& text) const {
-        std::size_t matches = 0;
-        for (std::size_t at = 0; (at = received.find(text, at)) != std::string::npos; ++at) ++matches;
-        return matches;
-    }
+    std::size_t count(const std::string& text) const { return count_occurrences(received, text); }
 };
 
 // A valid request of the Messages API.
--- a/tests/platform/client_connection_test.cpp
+++ b/tests/platform/client_connection_test.cpp
@@ -58,9 +58,7 @@
         answer_exchanges();
     }
     run_until([&] { return peer.read_available(), peer.ended; });
-    std::size_t answers = 0;
-    for (std::size_t at = 0; (at = peer.text.find("0\r\n\r\n", at)) != std::string::npos; ++at) ++answers;
-    EXPECT_EQ(answers, 3u) << peer.text;
+    EXPECT_EQ(peer.count("0\r\n\r\n"), 3u) << peer.text;
     EXPECT_FALSE(peer.reset);
 }
 
--- a/tests/support/blocking_client.h
+++ b/tests/support/blocking_client.h
@@ -14,6 +14,8 @@
 #include <string>
 #include <string_view>
 
+#include "support/text_search.h"
+
 namespace gorsenotch::test {
 
 // A client that uses system calls directly, outside the event loop: what it sends is in the kernel's buffers
@@ -78,11 +80,7 @@
         if (total > text.size()) read_available(total - text.size());
     }
     // How often `part` occurs in the received text.
-    std::size_t count(std::string_view part) const {
-        std::size_t matches = 0;
-        for (std::size_t at = 0; (at = text.find(part, at)) != std::string::npos; ++at) ++matches;
-        return matches;
-    }
+    std::size_t count(std::string_view part) const { return count_occurrences(text, part); }
     std::string text;    // received so far
     bool ended = false;  // the server has sent its FIN
     bool reset = false;  // the connection ended with an error
