--- a/review/standins-2.mjs
+++ b/review/standins-2.mjs
@@ -1,7 +1,7 @@
 // Stand-ins that the cases 6 to 10 share: the record, raw HTTP model servers, a discovery agent, clients, and the start of the
 // project's programs. Loopback only, free ports, a temporary folder; every process that was started is ended.
 import { spawn } from 'node:child_process';
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { appendFileSync, mkdtempSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -181,7 +181,14 @@
   await waitUntil('ready', () => child.log.includes('"ready"') || child.ended);
   if (child.ended) throw new Error(`the gateway ended: ${child.log}`);
   await waitUntil('the watch', () => discovery.watches > 0);
-  return { child, port };
+  // Replaces the configuration by one with another address of discovery and sends SIGHUP.
+  const moveDiscovery = (discoveryPort) => {
+    const config = JSON.parse(readFileSync(file, 'utf8'));
+    writeFileSync(`${file}.new`, JSON.stringify({ ...config, discovery: `127.0.0.1:${discoveryPort}` }));
+    renameSync(`${file}.new`, file);
+    process.kill(child.pid, 'SIGHUP');
+  };
+  return { child, port, moveDiscovery };
 }
 // The Messages API daemon of the same program: `build/src/gorsenotch serve FILE`. `xml(address)` gives the settings.
 export async function startServe(xml) {
@@ -193,18 +200,25 @@
   return { child, port };
 }
 
-// A discovery agent: the whole list at once, a watch answers after its time or at a change.
+// A discovery agent: the whole list at once, a watch answers after its time (no list here changes). `delayMs`: what each answer takes
+// longer.
 export class Discovery {
   watches = 0;
-  constructor(hosts) {
+  constructor(hosts, { delayMs = 0, onCall = () => {} } = {}) {
     this.hosts = hosts;
     this.server = new RawServer((request, connection) => {
+      onCall(request.target);
       const hold = /hold_ms=(\d+)/.exec(request.target);
-      if (!hold) return this.answer(connection, this.list());
+      if (!hold) return void setTimeout(() => this.answer(connection, this.list()), delayMs);
       ++this.watches;
-      setTimeout(() => this.answer(connection, { seq: 1, whole: false, hosts: [] }), Number(hold[1]));
+      setTimeout(() => this.answer(connection, { seq: 1, whole: false, hosts: [] }), Number(hold[1]) + delayMs);
     });
   }
+  // Accepts no new connections; closes the open ones after 1.5 s.
+  retire() {
+    this.server.server.close();
+    setTimeout(() => { for (const { socket } of this.server.connections) socket.destroy(); }, 1500);
+  }
   list() { return { seq: 1, whole: true, hosts: this.hosts }; }
   answer(connection, list) {
     const body = JSON.stringify(list);
