Endpoints of the tests end whole answers with the end marker

Change: kStreamEnd in tests/platform/platform_world.h; the marker in node.test.mjs and back-pressure.test.mjs. The longest allowed answer is still 256 KiB to the byte, its marker included. No assertion is dropped; those on received bytes now include the marker. The raw client of back-pressure.test.mjs moves to tests/life/platform.mjs, and the gateway of the tests has a second class, 'pay' (once).

--- a/tests/life/back-pressure.test.mjs
+++ b/tests/life/back-pressure.test.mjs
@@ -1,8 +1,7 @@
 // Streams that arrive faster than they are forwarded, and streams that never end, through one gateway process (`gorsenotch node`).
 import assert from 'node:assert/strict';
-import net from 'node:net';
 import { after, before, test } from 'node:test';
-import { rawRequest, sleep, startDeployment, stopDeployment } from './platform.mjs';
+import { chunk, sleep, startDeployment, stopDeployment, STREAM_HEAD, StreamClient } from './platform.mjs';
 
 const KIBIBYTE = 1024;
 const BODY_LIMIT_BYTES = 256 * KIBIBYTE;  // "No body exceeds 256 KiB"
@@ -13,39 +12,12 @@
 before(async () => { ({ prefillEngine, decodeEngine, discovery, gateway } = await startDeployment()); });
 after(() => stopDeployment({ prefillEngine, decodeEngine, discovery, gateway }));
 
-const streamHead = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
-const chunk = (text) => `${text.length.toString(16)}\r\n${text}\r\n`;
-
-// A client that reads all that it gets; its properties tell what it got.
-class Client {
-  text = ''; endedAt = 0; firstByteAt = 0; lastByteAt = 0;
-  constructor(txn) {
-    this.txn = txn;
-    this.sentAt = Date.now();
-    this.ended = new Promise((resolve) => {
-      this.socket = net.connect(gateway.port, '127.0.0.1', () => this.socket.write(rawRequest(txn, { headers: 'connection: close\r\n' })));
-      this.socket.on('data', (bytes) => { this.text += bytes; this.lastByteAt = Date.now(); this.firstByteAt ||= this.lastByteAt; });
-      this.socket.on('error', () => {});
-      this.socket.on('close', () => { this.endedAt = Date.now(); resolve(); });
-    });
-  }
-  get body() {
-    let body = '', at = this.text.indexOf('\r\n\r\n') + 4;
-    for (let size; (size = parseInt(this.text.slice(at, at + 8), 16)) > 0; at += size + 2) {
-      at = this.text.indexOf('\r\n', at) + 2;
-      body += this.text.slice(at, at + size);
-    }
-    return body;
-  }
-  get complete() { return this.text.endsWith('\r\n0\r\n\r\n'); }
-}
-
 // Guards against cutting off a sound answer near the limit on bodies. (The pause that such a burst may cause is forced by
 // BackPressureTest.)
 test('sound answers that arrive in one burst of small chunks are delivered whole', async () => {
   // In chunks of two bytes, the answer is several times as long on the wire as its body.
-  const EVENT = 'data: x\n\n\n', EVENTS = Math.floor(250 * KIBIBYTE / EVENT.length);
-  const burst = streamHead + EVENT.match(/../gs).map(chunk).join('').repeat(EVENTS) + '0\r\n\r\n';
+  const EVENT = 'data: x\n\n\n', MARKER = 'data: [DONE]\n\n', EVENTS = Math.floor(250 * KIBIBYTE / EVENT.length);
+  const burst = STREAM_HEAD + EVENT.match(/../gs).map(chunk).join('').repeat(EVENTS) + chunk(MARKER) + '0\r\n\r\n';
   decodeEngine.handler = (request, response) => {
     if (!request.headers['x-txn']?.startsWith('burst') || request.method !== 'POST') return false;
     response.socket.end(burst);
@@ -53,7 +25,7 @@
   };
   const clients = [];
   for (let index = 0; index < 12; ++index) {
-    clients.push(new Client(`burst-${index}`));
+    clients.push(new StreamClient(gateway, `burst-${index}`));
     await Promise.race([clients.at(-1).ended, sleep(500)]);
   }
   await Promise.race([Promise.all(clients.map((client) => client.ended)), sleep(5000)]);
@@ -62,7 +34,7 @@
   const complete = clients.filter((client) => client.complete);
   assert.equal(complete.length, clients.length, `incomplete: ${clients.filter((client) => !client.complete)
     .map((client) => `${client.txn} got ${client.text.length} bytes`).join(', ')}`);
-  for (const client of complete) assert.equal(client.body, EVENT.repeat(EVENTS));
+  for (const client of complete) assert.equal(client.body, EVENT.repeat(EVENTS) + MARKER);
 });
 
 // Guards against answers that never end: left waiting on an open connection, forwarded without end, or slowing down all others.
@@ -71,7 +43,7 @@
   decodeEngine.handler = (request, response) => {
     if (!request.headers['x-txn']?.startsWith('endless') || request.method !== 'POST') return false;
     const { socket } = response;
-    socket.write(streamHead + chunk('data: 1\n\n'));
+    socket.write(STREAM_HEAD + chunk('data: 1\n\n'));
     const keepWriting = () => {
       if (socket.destroyed) return;
       if (socket.write(block)) setImmediate(keepWriting);
@@ -82,8 +54,8 @@
   };
   const endless = [], others = [];
   for (let round = 0; round < 20; ++round) {
-    if (round % 2 === 0) endless.push(new Client(`endless-${round}`));
-    others.push(new Client(`other-${round}`));
+    if (round % 2 === 0) endless.push(new StreamClient(gateway, `endless-${round}`));
+    others.push(new StreamClient(gateway, `other-${round}`));
     await sleep(100);
   }
   await Promise.race([Promise.all([...endless, ...others].map((client) => client.ended)), sleep(END_LIMIT_MS)]);
--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -247,7 +247,7 @@
   await own.start(port, [prefillEngine.hostEntry(), decodeEngine.hostEntry()]);  // no discovery service listens yet
   decodeEngine.handler = (request, response) => {
     if (request.headers['x-txn'] !== 'crowd-1') return false;
-    setTimeout(() => { response.writeHead(200, { 'content-type': 'text/event-stream' }); response.end('data: 1\n\n'); }, 1200);
+    setTimeout(() => { response.writeHead(200, { 'content-type': 'text/event-stream' }); response.end('data: 1\n\ndata: [DONE]\n\n'); }, 1200);
     return true;
   };
   const openRequest = own.sendRequest('crowd-1');
@@ -287,7 +287,7 @@
     response.writeHead(200, { 'content-type': 'text/event-stream' });
     const interval = setInterval(() => {
       sentAt.push(Date.now());
-      if (sentAt.length === 12) { clearInterval(interval); return response.end('data: 12\n\n'); }
+      if (sentAt.length === 12) { clearInterval(interval); return response.end('data: 12\n\ndata: [DONE]\n\n'); }
       response.write(`data: ${sentAt.length}\n\n`);
     }, 40);
     return true;
--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -92,8 +92,40 @@
 }
 
 // The bytes of a chat completion request. `headers`: further header lines, each ended.
-export const rawRequest = (id, { headers = '', remainingMs = 2500, body = '{}' } = {}) => 'POST /v1/chat/completions HTTP/1.1\r\n' +
-  `x-txn: ${id}\r\nx-lane: chat\r\nx-org: acme\r\nx-remaining: ${remainingMs}m\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`;
+export const rawRequest = (id, { headers = '', lane = 'chat', remainingMs = 2500, body = '{}' } = {}) => 'POST /v1/chat/completions HTTP/1.1\r\n' +
+  `x-txn: ${id}\r\nx-lane: ${lane}\r\nx-org: acme\r\nx-remaining: ${remainingMs}m\r\n${headers}content-length: ${body.length}\r\n\r\n${body}`;
+
+// The head of a decode engine's answer on a connection of its own, and one chunk of its body.
+export const STREAM_HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n';
+export const chunk = (text) => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+// A client that sends one request on a connection of its own and reads all that it gets; its properties tell what it got.
+export class StreamClient {
+  text = ''; endedAt = 0; firstByteAt = 0; lastByteAt = 0;
+  constructor(gateway, txn, options = {}) {
+    this.txn = txn;
+    this.sentAt = Date.now();
+    this.ended = new Promise((resolve) => {
+      this.socket = net.connect(gateway.port, '127.0.0.1', () => this.socket.write(rawRequest(txn, { headers: 'connection: close\r\n', ...options })));
+      this.socket.setEncoding('latin1');
+      this.socket.on('data', (bytes) => { this.text += bytes; this.lastByteAt = Date.now(); this.firstByteAt ||= this.lastByteAt; });
+      this.socket.on('error', () => {});
+      this.socket.on('close', () => { this.endedAt = Date.now(); resolve(); });
+    });
+  }
+  // The body of the answer, as far as it was received.
+  get body() {
+    if (/^content-length/mi.test(this.text)) return this.text.slice(this.text.indexOf('\r\n\r\n') + 4);
+    let body = '', at = this.text.indexOf('\r\n\r\n') + 4;
+    for (let size; (size = parseInt(this.text.slice(at, at + 8), 16)) > 0; at += size + 2) {
+      at = this.text.indexOf('\r\n', at) + 2;
+      body += this.text.slice(at, at + size);
+    }
+    return body;
+  }
+  // Whether the answer ended with its last chunk.
+  get complete() { return this.text.endsWith('\r\n0\r\n\r\n'); }
+}
 
 // A prefill engine, a decode engine, and a discovery service that lists both.
 export async function startServices() {
@@ -102,10 +134,10 @@
   const discovery = await new Discovery().start([prefillEngine.hostEntry(), decodeEngine.hostEntry()]);
   return { prefillEngine, decodeEngine, discovery };
 }
-// The same with a gateway, which watches discovery for changes.
-export async function startDeployment() {
+// The same with a gateway, which watches discovery for changes. `options`: of Gateway.start.
+export async function startDeployment(options = {}) {
   const services = await startServices(), { discovery } = services;
-  const gateway = await new Gateway().start(discovery.port, discovery.hosts);
+  const gateway = await new Gateway().start(discovery.port, discovery.hosts, options);
   await waitUntil('the gateway to have the list and watch for changes', () => discovery.pendingWatches.length === 1);
   return { ...services, gateway };
 }
@@ -142,10 +174,11 @@
       known: { seq: 0, whole: true, hosts: this.knownHosts },
       settings: { Azs: ['a', 'b'], Zone: 'a', Balancers: this.gatewayCount ?? 1, Flavors: ['prefill', 'decode'],
         FamilyInfo: { RoleByKind: ['read', 'write'], KindMemoryTokens: [200000, 150000], LetGoByMs: 1000, Resume: this.resume,
-          TokenAimMs: [60], AimUsPer1000PromptTokens: [40000] },
+          TokenAimMs: [60, 60], AimUsPer1000PromptTokens: [40000, 40000] },
         Ceilings: { AttemptsCap: 6, Cancel: true, DialTimeoutMs: 250, IdleCloseMs: 15000, RetryAfter: false },
         Guarantees: { DrainGraceMs: 250, ...this.guarantees },
-        Lanes: [{ Name: 'chat', SloMs: Math.min(1500, this.deadlineMs), DeadlineMs: this.deadlineMs, Importance: 1, Effect: 'repeatable', Streaming: true }],
+        Lanes: [{ Name: 'chat', SloMs: Math.min(1500, this.deadlineMs), DeadlineMs: this.deadlineMs, Importance: 1, Effect: 'repeatable', Streaming: true },
+          { Name: 'pay', SloMs: Math.min(1500, this.deadlineMs), DeadlineMs: this.deadlineMs, Importance: 1, Effect: 'once', Streaming: true }],
         Tenants: [{ Name: 'acme', QuotaPerS: 1000 }], StepMs: 4 } }));
     renameSync(`${this.configFile}.new`, this.configFile);
   }
@@ -188,6 +221,8 @@
     const lines = this.stderr.split('\n').filter((line) => line.includes('"event":"status"'));
     return JSON.parse(lines.at(-1));
   }
+  // The count `name` in the object `group` of the latest status line; 0 if there is none.
+  statusCount(group, name) { return this.stderr.includes('"event":"status"') ? this.status[group]?.[name] ?? 0 : 0; }
   // Sends `signal` and waits for the exit; fails the test if a sanitizer reported anything.
   async stop(signal = 'SIGTERM') {
     this.child.kill(signal);
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -33,7 +33,7 @@
     // The clock of the lifecycle is not the event loop's.
     void advance(Millis duration) { advance_clock(environment, lifecycle, duration, 100); }
     void finish_stream(BlockingClient& peer, std::size_t index) {
-        receive(index, "0\r\n\r\n");
+        receive(index, kStreamEnd);
         run_until([&] { return has_last_chunk(peer); });
     }
     // Sends a request whose answer comes as a burst: its stream is paused once, resumed, and delivered whole.
@@ -82,7 +82,7 @@
     void begin_long_last_answer(BlockingClient& peer) {
         const std::size_t stream = begin_stream(peer, "t1", "connection: close\r\n");
         limit_send_buffer(peer.port());
-        receive(stream, in_small_chunks(kLongAnswerBytes) + "0\r\n\r\n");
+        receive(stream, in_small_chunks(kLongAnswerBytes) + kStreamEnd);
     }
 };
 
@@ -98,7 +98,7 @@
 TEST_F(BackPressureTest, TheNextRequestOfTheConnectionIsPausedAndResumedToo) {
     BlockingClient peer(clients->port());
     const std::size_t first = begin_stream(peer, "t1");
-    receive(first, in_small_chunks(kLongAnswerBytes) + "0\r\n\r\n");
+    receive(first, in_small_chunks(kLongAnswerBytes) + kStreamEnd);
     run_until([&] { return has_last_chunk(peer); });
     peer.text.clear();
     expect_pause_and_resume(peer, "t2");
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -321,14 +321,13 @@
          AttemptResult::prefill_done, 4096, true},
         {Kind::prefill, "HTTP/1.1 202 Accepted\r\ncontent-length: 4\r\n\r\nnone", AttemptResult::prefill_done,
          0, true},
-        {Kind::decode, kStreamHead + chunked("data: a\n\n") + chunked("data: [DONE]\n\n") + "0\r\n\r\n",
-         AttemptResult::served, 0, true},
+        {Kind::decode, kStreamHead + chunked("data: a\n\n") + kStreamEnd, AttemptResult::served, 0, true},
         {Kind::decode,
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\n\r\n" + kStreamHead + chunked("data: a\n\n") +
-             "0\r\n\r\n",
+             kStreamEnd,
          AttemptResult::served, 0, true},
         {Kind::decode,
-         kStreamHead + chunked("data: a\n\n") + "0\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+         kStreamHead + chunked("data: a\n\n") + kStreamEnd + "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
          AttemptResult::served, 0, false},
         {Kind::decode, "HTTP/1.1 503 no\r\n" + rejected_tail, AttemptResult::rejected, 0, true},
         {Kind::prefill, "HTTP/1.1 504 no\r\n" + rejected_tail, AttemptResult::rejected, 0, true},
@@ -388,9 +387,13 @@
 TEST(UpstreamExchangeTest, AStreamEndsAsResetOnceItExceedsThePlatformsLimitOnBodies) {
     constexpr std::size_t kLimit = std::size_t{256} * 1024;
     const std::string event = "data: " + std::string(1016, 'x') + "\n\n";  // 1 KiB
+    const std::string marker = "data: [DONE]\n\n";
     RecordedExchange longest(Kind::decode);
     longest.feed(kStreamHead, 100);
-    for (std::size_t sent = 0; sent < kLimit; sent += event.size()) longest.feed(chunked(event), 16384);
+    for (std::size_t sent = event.size(); sent < kLimit; sent += event.size())
+        longest.feed(chunked(event), 16384);
+    longest.feed(chunked("data: " + std::string(event.size() - marker.size() - 8, 'x') + "\n\n"), 16384);
+    longest.feed(chunked(marker), 16384);
     EXPECT_FALSE(longest.end);
     EXPECT_EQ(longest.events.size(), kLimit);
     RecordedExchange endless(Kind::decode);
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -38,6 +38,8 @@
     "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 inline const std::string kPrefillAnswer = "HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}";
 inline std::string chunked(const std::string& text) { return http::chunk(text); }
+// The end of a whole answer: its end marker, and the last chunk.
+inline const std::string kStreamEnd = chunked("data: [DONE]\n\n") + "0\r\n\r\n";
 
 // Records the answer to its request.
 struct RecordingClient : Client {
--- a/tests/platform/request_lifecycle_test.cpp
+++ b/tests/platform/request_lifecycle_test.cpp
@@ -20,7 +20,7 @@
     EXPECT_TRUE(last_exchange().request.ends_with("\r\n\r\n{}"));
     answer(kStreamHead + chunked("data: a\n\n"));
     EXPECT_EQ(client.streams_begun, 1);
-    answer(chunked("data: [DONE]\n\n") + "0\r\n\r\n");
+    answer(kStreamEnd);
     EXPECT_EQ(client.events, "data: a\n\ndata: [DONE]\n\n");
     EXPECT_EQ(client.answers_ended, 1);
     EXPECT_EQ(release_calls(), 0u) << "the decode has fetched the KV cache";
@@ -31,12 +31,12 @@
     RecordingClient other;
     EXPECT_EQ(send_request("t1", other), 0u);
     answer_prefill();
-    answer(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
+    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
     EXPECT_EQ(other.answers_ended, 0);
     EXPECT_NE(send_request("t1", other), 0u);
     answer_prefill();
-    answer(kStreamHead + chunked("data: b\n\n") + "0\r\n\r\n");
-    EXPECT_EQ(other.events, "data: b\n\n");
+    answer(kStreamHead + chunked("data: b\n\n") + kStreamEnd);
+    EXPECT_EQ(other.events, "data: b\n\ndata: [DONE]\n\n");
 }
 
 TEST_F(PlatformTest, AShutdownMigratesStreamsAndAnswersOtherRequests) {
@@ -126,7 +126,7 @@
             } else {
                 leased.erase(txn(sent));  // the decode has fetched the KV cache
                 if (behaviour < 2)
-                    sent.exchange->on_data(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
+                    sent.exchange->on_data(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
                 else
                     sent.exchange->on_data(kStreamHead + chunked("data: a\n\n") + "zz");
             }
