node tells how each stream ended: log line, stream_ends, the outcome incomplete

A stream that ended without its end marker was counted as served in time and stood in no log line; a broken one had a line that did not say how it broke.

Change: StreamMonitor follows the events of a decode endpoint's answer by the standard's parser (SseReader, which can now skip what exceeds its limit, so that it takes some dozens of bytes whatever an event's length). A request whose stream lacked its end marker has the outcome incomplete. What clients get is unchanged.

--- a/src/http/sse.cpp
+++ b/src/http/sse.cpp
@@ -1,5 +1,6 @@
 #include "http/sse.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gorsenotch::http {
@@ -33,9 +34,9 @@
             continue;
         }
         const auto end = find_line_end(bytes);
-        const auto part = bytes.substr(0, end);
+        const auto part = truncated(bytes.substr(0, end));
         // Guards against unbounded memory use by a line that never ends.
-        if (line_.size() + data_.size() + part.size() > max_event_bytes_) {
+        if (oversize_ == Oversize::fail && line_.size() + data_.size() + part.size() > max_event_bytes_) {
             too_long_ = true;
             return false;
         }
@@ -51,6 +52,11 @@
     return true;
 }
 
+std::string_view SseReader::truncated(std::string_view part) const {
+    if (oversize_ == Oversize::fail) return part;
+    return part.substr(0, max_event_bytes_ - std::min(max_event_bytes_, line_.size()));
+}
+
 void SseReader::end_line(std::string_view rest) {
     if (line_.empty()) return on_line(rest);
     line_.append(rest);
@@ -79,8 +85,9 @@
 
 void SseReader::on_field(std::string_view name, std::string_view value) {
     if (name == "data") {
-        if (has_data_) data_ += '\n';
-        data_.append(value);
+        const bool skipped = oversize_ == Oversize::truncate && data_.size() > max_event_bytes_;
+        if (has_data_ && !skipped) data_ += '\n';
+        if (!skipped) data_.append(value);
         has_data_ = true;
     } else if (name == "event") {
         name_ = value;
--- a/src/http/sse.h
+++ b/src/http/sse.h
@@ -15,9 +15,15 @@
     // "\n". Events without data are ignored, as the standard requires; so are comments, `id` and `retry`.
     std::function<void(std::string_view name, std::string_view data)> on_event;
 
+    // What becomes of lines and events beyond the limit.
+    enum class Oversize {
+        fail,     // parsing ends
+        truncate  // each line and each event's data is parsed as far as the limit; the rest is skipped
+    };
     // `max_event_bytes`: limit of one event.
-    explicit SseReader(std::size_t max_event_bytes) : max_event_bytes_(max_event_bytes) {}
-    // False once a line or an event exceeds the limit; nothing more is parsed then.
+    explicit SseReader(std::size_t max_event_bytes, Oversize oversize = Oversize::fail)
+        : max_event_bytes_(max_event_bytes), oversize_(oversize) {}
+    // False once a line or an event exceeds the limit with Oversize::fail; nothing more is parsed then.
     bool feed(std::string_view bytes);
     // The memory of what is buffered, in bytes.
     std::size_t memory() const { return line_.capacity() + name_.capacity() + data_.capacity(); }
@@ -25,6 +31,8 @@
     bool has_partial_event() const { return !line_.empty() || has_data_; }
 
 private:
+    // The part of the current line's next bytes that is parsed.
+    std::string_view truncated(std::string_view part) const;
     // Completes the current line with `rest` and handles it.
     void end_line(std::string_view rest);
     void on_line(std::string_view line);
@@ -32,6 +40,7 @@
     void on_field(std::string_view name, std::string_view value);
 
     std::size_t max_event_bytes_;
+    Oversize oversize_;
     std::string line_;  // the beginning of the current line, from earlier calls of feed()
     std::string name_;
     std::string data_;
--- a/src/platform/access_log.cpp
+++ b/src/platform/access_log.cpp
@@ -25,6 +25,13 @@
     text.append(" ").append(kResultNames[static_cast<std::size_t>(attempt.result)]);
 }
 
+void append_stream(std::string& text, const StreamRecord& stream) {
+    text.append("; stream ").append(kStreamEndNames[static_cast<std::size_t>(stream.end)]);
+    text.append(", ").append(std::to_string(stream.events)).append(" events");
+    text.append(", ").append(std::to_string(stream.bytes)).append(" bytes");
+    text.append(", last event ").append(rounded_text(stream.last_event));
+}
+
 }  // namespace
 
 bool LogRateLimiter::allow(Millis now) {
@@ -91,6 +98,7 @@
     text.append(" end ").append(rounded_text(record.ended));
     const std::size_t logged = std::min(kMaxAttemptsLogged, record.attempts.size());
     for (std::size_t i = 0; i < logged; ++i) append_attempt(text, record.attempts[i]);
+    if (record.stream) append_stream(text, *record.stream);
     if (!record.lease.empty()) text.append("; ").append(record.lease);
     return text;
 }
--- a/src/platform/access_log.h
+++ b/src/platform/access_log.h
@@ -15,6 +15,7 @@
 #include "gorsenotch/actions.h"
 #include "gorsenotch/events.h"
 #include "gorsenotch/settings.h"
+#include "platform/stream_monitor.h"
 
 namespace gorsenotch::platform {
 
@@ -36,7 +37,8 @@
 
 // How a request ended. `late_prefill`: its prefill ended after the latency objective. `late_decode`: the
 // prefill ended in time, but the first token was late. `slow_stream`: the mean time between tokens was over
-// the inter-token objective.
+// the inter-token objective. `incomplete`: its stream ended without its end marker. `broken`: its stream
+// ended in another way before it was complete.
 enum class RequestOutcome {
     in_time,
     late_prefill,
@@ -45,13 +47,14 @@
     rejected_unsent,
     rejected,
     failed,
+    incomplete,
     broken,
     migrated,
     client_disconnected
 };
-constexpr std::array<const char*, 10> kOutcomeNames = {
-    "in_time",  "late_prefill", "late_decode", "slow_stream", "rejected_unsent",
-    "rejected", "failed",       "broken",      "migrated",    "client_disconnected"};
+constexpr std::array<const char*, 11> kOutcomeNames = {
+    "in_time", "late_prefill", "late_decode", "slow_stream", "rejected_unsent",    "rejected",
+    "failed",  "incomplete",   "broken",      "migrated",    "client_disconnected"};
 
 // In the order of EndCause. EndCause::shed_load is logged as load_shed.
 constexpr std::array<const char*, kEndCauses> kEndCauseNames = {
@@ -69,6 +72,14 @@
     Millis ended_at = 0;
 };
 
+// The stream of a request as logged, once it has ended.
+struct StreamRecord {
+    StreamEnd end = StreamEnd::complete;
+    std::uint64_t events = 0;  // complete ones
+    std::uint64_t bytes = 0;
+    Millis last_event = 0;  // when its last bytes were received, in ms since the request's first byte
+};
+
 // One request as logged; times are ms since its first byte.
 struct RequestRecord {
     std::string_view txn;
@@ -79,6 +90,7 @@
     Millis ended = 0;
     std::optional<EndCause> cause;  // of a final answer without a stream
     std::vector<AttemptRecord> attempts;
+    std::optional<StreamRecord> stream;
     std::string lease;  // its history, see describe_timeline; empty: nothing is held
 };
 
--- a/src/platform/attempt_runner.cpp
+++ b/src/platform/attempt_runner.cpp
@@ -216,6 +216,7 @@
     attempt->mark_ended();
     --context_.attempts_in_flight;
     ++context_.counters.of(outcome.result);
+    if (outcome.stream_begun) ++context_.counters.stream_ends[static_cast<std::size_t>(outcome.stream_end)];
     if (outcome.too_long) ++context_.counters.responses_too_long;
     report_to_invariant_checker(key, *attempt, outcome);
     attempt->ended_at = context_.environment.now();
@@ -230,7 +231,7 @@
     ended.took = attempt->ended_at - attempt->started_at;
     ended.detail = outcome.detail;
     if (outcome.stream_begun && !request->closed) {
-        completion_.finish_stream(*request, outcome.result);
+        completion_.finish_stream(*request, outcome);
         request = context_.requests.find(key.handle);
     }
     if (request) {
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -14,6 +14,7 @@
 #include "platform/health_checker.h"
 #include "platform/lease_releaser.h"
 #include "platform/request_state.h"
+#include "platform/stream_monitor.h"
 
 namespace gorsenotch::platform {
 
@@ -32,6 +33,7 @@
     std::uint64_t stream_resumes = 0;   // it is read again
     std::uint64_t stalled_clients = 0;  // their paused stream was ended, as they took nothing of it
     std::uint64_t results[9] = {};      // by AttemptResult
+    std::array<std::uint64_t, kStreamEndNames.size()> stream_ends{};
     std::array<std::uint64_t, control::kSendBlockReasonNames.size()> send_blocks{};
     // Releases by how they ended and by why they were started.
     std::array<std::uint64_t, kReleaseEnds.size()> release_ends{};
--- a/src/platform/request_completion.cpp
+++ b/src/platform/request_completion.cpp
@@ -13,6 +13,12 @@
     return request.attempts.empty() ? RequestOutcome::rejected_unsent : RequestOutcome::rejected;
 }
 
+// Nothing for a complete stream, whose outcome depends on its times.
+std::optional<RequestOutcome> outcome_of_stream(StreamEnd end) {
+    if (end == StreamEnd::complete) return std::nullopt;
+    return end == StreamEnd::no_end_marker ? RequestOutcome::incomplete : RequestOutcome::broken;
+}
+
 AttemptRecord to_record(const AttemptState& attempt, Millis arrived) {
     AttemptRecord record;
     record.is_prefill = attempt.is_prefill;
@@ -39,9 +45,11 @@
     client->send_final(answer.status, answer.retry_after, answer.text);
 }
 
-void RequestCompletion::finish_stream(RequestState& request, AttemptResult result) {
-    const bool served = result == AttemptResult::served;
-    log_request(request, served ? std::nullopt : std::optional(RequestOutcome::broken));
+void RequestCompletion::finish_stream(RequestState& request, const AttemptOutcome& ended) {
+    const bool served = ended.result == AttemptResult::served;
+    const Millis last_event = request.attempts.back().last_event_at - request.arrived;
+    log_request(request, outcome_of_stream(ended.stream_end), std::nullopt,
+                StreamRecord{ended.stream_end, ended.events, ended.bytes, last_event});
     Client* client = close(request);
     ++(served ? context_.counters.served : context_.counters.broken);
     if (!client) return;
@@ -75,13 +83,14 @@
 }
 
 void RequestCompletion::log_request(const RequestState& request, std::optional<RequestOutcome> outcome,
-                                    std::optional<EndCause> cause) {
+                                    std::optional<EndCause> cause, std::optional<StreamRecord> stream) {
     RequestRecord record;
     record.txn = request.inbound.txn;
     record.cls = request.inbound.arrival.cls;
     record.prompt_tokens = request.inbound.arrival.prompt_tokens;
     record.completion_tokens = request.completion_tokens;
     record.cause = cause;
+    record.stream = stream;
     if (request.leases.is_held()) record.lease = lease_keeper_.describe(request);
     if (request.stream_begun_at) record.first_token = *request.stream_begun_at - request.arrived;
     record.ended = context_.environment.now() - request.arrived;
--- a/src/platform/request_completion.h
+++ b/src/platform/request_completion.h
@@ -13,6 +13,7 @@
 #include "platform/access_log.h"
 #include "platform/lease_keeper.h"
 #include "platform/lifecycle_context.h"
+#include "platform/upstream_exchange.h"
 
 namespace gorsenotch::platform {
 
@@ -36,9 +37,9 @@
     // Closes the request with this answer, or aborts its stream if one has begun. Does nothing if the request
     // is closed already.
     void send_final(RequestState& request, const FinalAnswer& answer);
-    // Closes the request after its stream ended with this result: completes the client's stream if it was
-    // served, and aborts it otherwise.
-    void finish_stream(RequestState& request, AttemptResult result);
+    // Closes the request after the attempt whose stream had begun ended with this outcome: completes the
+    // client's stream if it was served, and aborts it otherwise.
+    void finish_stream(RequestState& request, const AttemptOutcome& ended);
     // Closes the request by aborting its stream; the client repeats it at another gateway.
     void abort_migrated_stream(RequestState& request);
     // Closes the request because its client has disconnected.
@@ -56,7 +57,8 @@
     Client* close(RequestState& request);
     // `outcome`: nothing for a complete answer, whose outcome depends on its times.
     void log_request(const RequestState& request, std::optional<RequestOutcome> outcome,
-                     std::optional<EndCause> cause = std::nullopt);
+                     std::optional<EndCause> cause = std::nullopt,
+                     std::optional<StreamRecord> stream = std::nullopt);
     void remove(RequestState& request);
 
     LifecycleContext& context_;
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -121,8 +121,9 @@
     fields["stream_pauses"] = counters.stream_pauses;
     fields["stream_resumes"] = counters.stream_resumes;
     fields["stalled_clients"] = counters.stalled_clients;
-    // `results` counts attempts; `outcomes` counts requests.
+    // `results` counts attempts, `stream_ends` those whose stream had begun; `outcomes` counts requests.
     fields["results"] = results_by_name(counters);
+    fields["stream_ends"] = counts_by_name(kStreamEndNames, counters.stream_ends);
     fields["outcomes"] = counts_by_name(kOutcomeNames, lifecycle.access_log().outcomes());
     fields["outcomes"]["not_logged"] = lifecycle.access_log().not_logged();
     fields["end_causes"] = counts_by_name(kEndCauseNames, lifecycle.access_log().causes());
--- a/src/platform/upstream_exchange.cpp
+++ b/src/platform/upstream_exchange.cpp
@@ -84,6 +84,7 @@
 
 void UpstreamExchange::on_body(std::string_view bytes) {
     if (over_ || connection_unusable_) return;
+    if (is_stream_) stream_.feed(bytes);
     if (stream_begun_) return on_more_events ? on_more_events(bytes) : void();
     if (body_.size() + bytes.size() > (is_stream_ ? kMaxFirstEventBytes : kMaxUnstreamedBytes))
         return on_malformed_response();
@@ -110,17 +111,21 @@
     if (rejected_ && status_ == 410) return finish(AttemptResult::rejected, kNoKvCacheToFetch);
     if (kind_ == Kind::prefill && status_ == 202)
         return finish(AttemptResult::prefill_done, cached_tokens(body_));
-    if (stream_begun_) return finish(AttemptResult::served);
-    finish(AttemptResult::error);
+    if (!stream_begun_) return finish(AttemptResult::error);
+    if (!stream_.is_complete()) stream_end_ = StreamEnd::no_end_marker;
+    finish(AttemptResult::served);
 }
 
 void UpstreamExchange::on_malformed_response() {
     connection_unusable_ = true;
+    const bool too_long = parser_.fault() == http::Fault::body_too_large;
+    stream_end_ = too_long ? StreamEnd::too_long : StreamEnd::malformed_response;
     finish(stream_begun_ ? AttemptResult::reset : AttemptResult::error);
 }
 
 void UpstreamExchange::on_connection_closed() {
     connection_unusable_ = true;
+    stream_end_ = StreamEnd::connection_closed;
     // A request whose last byte was not passed to the kernel can't have run.
     finish(request_written_ ? AttemptResult::reset : AttemptResult::unreachable);
 }
@@ -134,6 +139,7 @@
 
 void UpstreamExchange::abort(AttemptResult result, std::string_view /*reason*/) {
     connection_unusable_ = true;
+    stream_end_ = result == AttemptResult::cancelled ? StreamEnd::cancelled : StreamEnd::idle_timeout;
     // A request that was not fully written has not run, whatever ended it.
     if (!request_written_ && result == AttemptResult::timed_out) result = AttemptResult::unreachable;
     if (!request_written_ && result == AttemptResult::cancelled) result = AttemptResult::not_sent;
@@ -148,6 +154,9 @@
     outcome.status = status_;
     outcome.detail = detail;
     outcome.stream_begun = stream_begun_;
+    outcome.stream_end = stream_end_;
+    outcome.events = stream_.events();
+    outcome.bytes = stream_.bytes();
     outcome.too_long = parser_.fault() == http::Fault::body_too_large;
     body_ = std::string();
     memory_.resize(0);
--- a/src/platform/upstream_exchange.h
+++ b/src/platform/upstream_exchange.h
@@ -15,6 +15,7 @@
 #include "control/memory_budget.h"
 #include "gorsenotch/events.h"
 #include "http/parser.h"
+#include "platform/stream_monitor.h"
 #include "proxy/upstream_call.h"
 
 namespace gorsenotch::platform {
@@ -28,7 +29,10 @@
     int status = 0;     // of the response; 0: none received
     double detail = 0;  // as AttemptEnded::detail
     bool stream_begun = false;
-    bool too_long = false;  // the response exceeded the platform's limit on bodies
+    StreamEnd stream_end = StreamEnd::complete;  // of a stream that had begun
+    std::uint64_t events = 0;                    // complete events of its stream
+    std::uint64_t bytes = 0;                     // of its stream's body
+    bool too_long = false;                       // the response exceeded the platform's limit on bodies
 };
 
 // Ownership: shared between the caller that started it and the connection that carries it. Errors: a
@@ -90,6 +94,8 @@
     const Kind kind_;
     control::MemoryCharge memory_;
     http::Parser parser_;
+    StreamMonitor stream_;
+    StreamEnd stream_end_ = StreamEnd::complete;
     std::string body_;  // of a response that is not a stream, or the start of an incomplete first event
     int status_ = 0;
     int interim_responses_ = 0;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -121,6 +121,25 @@
     EXPECT_FALSE(within_limit);
 }
 
+// Guards against memory that grows with the length of an event.
+TEST(Sse, TruncatedEventsTakeBoundedMemory) {
+    constexpr std::size_t kLimit = 32;
+    const std::string many(100000, 'x');
+    SseReader reader(kLimit, SseReader::Oversize::truncate);
+    std::size_t longest = 0;
+    reader.on_event = [&](std::string_view, std::string_view data) {
+        longest = std::max(longest, data.size());
+    };
+    for (int line = 0; line < 1000; ++line) {
+        EXPECT_TRUE(reader.feed("data: " + many));
+        EXPECT_TRUE(reader.feed(many + "\n"));
+        EXPECT_LE(reader.memory(), 16 * kLimit);
+    }
+    EXPECT_TRUE(reader.feed("\n"));
+    EXPECT_GT(longest, 0u);
+    EXPECT_LE(longest, 2 * kLimit + 1);
+}
+
 TEST(Sse, ReadsBackWrittenEvents) {
     EXPECT_EQ(read_events(sse_event("n", "{}") + sse_event("", "x"), 3),
               (std::vector<std::string>{"n|{}", "|x"}));
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -41,6 +41,7 @@
                                             "migrated",
                                             "attempts",
                                             "responses_too_long",
+                                            "stream_ends",
                                             "stream_pauses",
                                             "stream_resumes",
                                             "stalled_clients",
@@ -81,7 +82,7 @@
     EXPECT_EQ(fields["open_requests"], 1);
     EXPECT_EQ(fields["attempts_in_flight"], 1);
     answer_prefill();
-    answer(kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n");
+    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
     fields = reporter.fields();
     EXPECT_EQ(fields["open_requests"], 0);
     EXPECT_EQ(fields["arrived"], 1);
