A stream is served once its events are complete, not when its message ends

What callers saw: a decode endpoint wrote some events of an answer and ended its message with the last chunk (or at its content-length). The gateway ended the client's answer with the last chunk too, as if it were whole. The client neither repeated the request nor asked for the rest: a lost request.

Cause: UpstreamExchange::on_complete took the end of the framing for the end of the content. Class: proof of one thing is credited to another. The framing says that no more bytes come; that the answer is complete is said by its events, whose last one is 'data: [DONE]'.

Fix: a stream is served if its message is complete and StreamMonitor has parsed the end marker as its last event. Any other end is a broken stream: the client's connection ends without the last chunk, and the endpoint's connection is not reused. It works for any ending and any cut, as nothing is searched for in the bytes. A whole stream whose message breaks off is broken, as before.

The five new cases of UpstreamExchangeTest.OutcomesFollowTheProtocolForAnySplitOfTheBytes that are not whole are served without the fix.

--- a/src/platform/upstream_exchange.cpp
+++ b/src/platform/upstream_exchange.cpp
@@ -112,8 +112,10 @@
     if (kind_ == Kind::prefill && status_ == 202)
         return finish(AttemptResult::prefill_done, cached_tokens(body_));
     if (!stream_begun_) return finish(AttemptResult::error);
-    if (!stream_.is_complete()) stream_end_ = StreamEnd::no_end_marker;
-    finish(AttemptResult::served);
+    if (stream_.is_complete()) return finish(AttemptResult::served);
+    connection_unusable_ = true;
+    stream_end_ = StreamEnd::no_end_marker;
+    finish(AttemptResult::reset);
 }
 
 void UpstreamExchange::on_malformed_response() {
--- a/src/platform/upstream_exchange.h
+++ b/src/platform/upstream_exchange.h
@@ -4,9 +4,10 @@
 // Order of calls to the owner: on_sent, on_written and on_first_byte at most once, on_first_event at most
 // once, on_more_events after that, on_ended exactly once and last. Events are passed on unchanged as they
 // arrive. Only the first event is buffered until it is complete: a response that breaks before is a failed
-// attempt, not a stream that has begun. A response longer than the platform's limit on bodies is malformed:
-// an answer that never ends is cut off there. So is one whose head and first event do not fit into the memory
-// budget. After on_ended calls have no effect.
+// attempt, not a stream that has begun. A stream is served once its events (StreamMonitor) and its message
+// are complete; one whose message ends before is broken. A response longer than the platform's limit on
+// bodies is malformed: an answer that never ends is cut off there. So is one whose head and first event do
+// not fit into the memory budget. After on_ended calls have no effect.
 #pragma once
 
 #include <functional>
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -329,6 +329,19 @@
         {Kind::decode,
          kStreamHead + chunked("data: a\n\n") + kStreamEnd + "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
          AttemptResult::served, 0, false},
+        {Kind::decode, kStreamHead + chunked("data: a\n\n") + "0\r\n\r\n", AttemptResult::reset, 0, false},
+        {Kind::decode, kStreamHead + chunked("data: a\n\n") + chunked("data: [DONE]\n") + "0\r\n\r\n",
+         AttemptResult::reset, 0, false},
+        {Kind::decode, kStreamHead + chunked("data: a\n\n") + kStreamEnd.substr(0, kStreamEnd.size() - 2),
+         AttemptResult::reset, 0, false},  // the loop below then closes the connection
+        {Kind::decode,
+         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 23\r\n\r\n"
+         "data: a\n\ndata: [DONE]\n\n",
+         AttemptResult::served, 0, true},
+        {Kind::decode,
+         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\n"
+         "data: a\n\ndata: b\n\n",
+         AttemptResult::reset, 0, false},
         {Kind::decode, "HTTP/1.1 503 no\r\n" + rejected_tail, AttemptResult::rejected, 0, true},
         {Kind::prefill, "HTTP/1.1 504 no\r\n" + rejected_tail, AttemptResult::rejected, 0, true},
         {Kind::decode, "HTTP/1.1 410 Gone\r\n" + rejected_tail, AttemptResult::rejected, 1, true},
@@ -352,6 +365,7 @@
             RecordedExchange recorded(expected.kind);
             recorded.feed(expected.bytes, piece);
             if (expected.bytes.ends_with("data: half\r\n")) recorded.feed("zz\r\n", piece);
+            if (expected.bytes.ends_with("0\r\n")) recorded.exchange->on_connection_closed();
             ASSERT_TRUE(recorded.end) << expected.bytes.substr(0, 60) << " by " << piece;
             EXPECT_EQ(recorded.end->result, expected.result) << expected.bytes.substr(0, 60);
             EXPECT_EQ(recorded.end->detail, expected.detail);
