node: the first event of a stream ends as the standard says, also with CR line ends

What callers saw: a whole stream whose lines end in CR was answered with 502 (or sent again): its first event was never taken for complete. A comment before the first event was passed on as one: if the stream broke right after it, the client got a broken stream where another attempt could have been made.

Cause: has_complete_event searched the bytes for an empty line.

Fix: the first event is complete once StreamMonitor has parsed one. Bytes still go out unchanged.

--- a/src/platform/upstream_exchange.cpp
+++ b/src/platform/upstream_exchange.cpp
@@ -27,10 +27,6 @@
     return it != json.end() && it->is_number() ? std::clamp(it->get<double>(), 0.0, kMaxCachedTokens) : 0;
 }
 
-bool has_complete_event(std::string_view events) {
-    return events.find("\n\n") != std::string_view::npos || events.find("\r\n\r\n") != std::string_view::npos;
-}
-
 }  // namespace
 
 UpstreamExchange::UpstreamExchange(Kind kind, control::MemoryCharge memory)
@@ -90,7 +86,7 @@
         return on_malformed_response();
     if (!reserve_buffer(body_.size() + bytes.size())) return on_malformed_response();
     body_.append(bytes);
-    if (!is_stream_ || !has_complete_event(body_)) return;
+    if (!is_stream_ || stream_.events() == 0) return;
     stream_begun_ = true;
     const std::string first = std::exchange(body_, std::string());
     memory_.resize(0);
--- a/tests/life/stream-end.test.mjs
+++ b/tests/life/stream-end.test.mjs
@@ -17,6 +17,7 @@
   'all events and the marker': CONTENT + MARKER,
   'no usage': FIRST + STOP + MARKER,
   'CRLF line ends': (CONTENT + MARKER).replaceAll('\n', '\r\n'),
+  'CR line ends': (CONTENT + MARKER).replaceAll('\n', '\r'),
   'no space after the colon': (CONTENT + MARKER).replaceAll('data: ', 'data:'),
   'a marker with an id': `${CONTENT}id: 9\n${MARKER}`,
   'a comment before each event': `: ping\n\n${FIRST}: ping\n\n${STOP}: ping\n${MARKER}`,
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -388,6 +388,11 @@
         ASSERT_TRUE(recorded.end);
         EXPECT_EQ(recorded.end->result, AttemptResult::served);
     }
+    RecordedExchange comment(Kind::decode);
+    comment.feed(kStreamHead + chunked(": ping\n\n"), 100);
+    EXPECT_EQ(comment.events, "") << "a comment is no event";
+    comment.feed(chunked("data: a\r\r"), 100);
+    EXPECT_EQ(comment.events, ": ping\n\ndata: a\r\r");
     RecordedExchange incomplete(Kind::decode);
     incomplete.feed(kStreamHead + chunked("data: {"), 100);
     EXPECT_EQ(incomplete.events, "");
