Tests of node listen on ports that the system gives to no connection

Need: in one run of five test files side by side back-pressure.test.mjs failed as its gateway was not ready within 8 s. Its log was not kept. Trial: a gateway whose port is the source port of an open connection logs 'address already in use; will retry' and ends with 4 after 8 s; a free port chosen from the system's range can become one. That this was the case then is likely and not shown.

Change: ports from 10000 to 32000, another start in each process; a gateway that is not ready tells its exit code and log.

Measured: four runs of five files side by side with the old choice did not show the failure again.

--- a/tests/life/platform.mjs
+++ b/tests/life/platform.mjs
@@ -15,11 +15,19 @@
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 // Listens on a free loopback port; resolves with the port.
 export const listen = (server) => new Promise((resolve) => server.listen(0, '127.0.0.1', () => resolve(server.address().port)));
+// Ports below those that the system gives to connections: one of these may be taken between the choice of a port and its use.
+// Test files run side by side, so each begins elsewhere.
+const FIRST_PORT = 10000, LAST_PORT = 32000, PORTS_A_PROCESS = 220;
+let lastPort = FIRST_PORT + (process.pid * PORTS_A_PROCESS) % (LAST_PORT - FIRST_PORT);
 export const findFreePort = async () => {
-  const server = net.createServer();
-  const port = await listen(server);
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  for (;;) {
+    lastPort = lastPort < LAST_PORT ? lastPort + 1 : FIRST_PORT;
+    const port = lastPort, server = net.createServer();
+    const isFree = await new Promise((resolve) => server.once('error', () => resolve(false)).listen(port, '127.0.0.1', () => resolve(true)));
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+  }
 };
 // Polls `condition` until it holds; fails the test after `timeoutMs`.
 export async function waitUntil(description, condition, timeoutMs = 8000) {
@@ -164,7 +172,7 @@
     children.push(this.child);
     this.child.stderr.on('data', (chunk) => { this.stderr += chunk; });
     this.exited = new Promise((resolve) => this.child.on('close', (code, signal) => resolve({ code, signal })));
-    if (ready) await waitUntil('the gateway to log `ready`', () => /"ready"/.test(this.stderr));
+    if (ready) await waitUntil('the gateway to log `ready`', () => /"ready"/.test(this.stderr)).catch((error) => { throw new Error(`${error.message}; exit code ${this.child.exitCode}, log: ${this.stderr}`); });
     return this;
   }
   // Replaces the configuration file atomically, with `text` if given.
