node cuts a silent stream after 4.7 s, not 4 s: an endpoint may write an event every 4.5 s

And a stream that was resumed right after a check of its slow client, and then fell silent, was ended up to 5.0 s after the resume.

Fix: 5 s less twice the 0.15 s for which a process may be held up (as the event arrives and as the timer fires); while paused, the timer is set no later than a stream resumed right then would need.

--- a/src/platform/stream_forwarder.cpp
+++ b/src/platform/stream_forwarder.cpp
@@ -7,9 +7,11 @@
 namespace gorsenotch::platform {
 namespace {
 
-// Less than the 5 s within which a client has to see the end of a broken stream; more than an endpoint at an
-// eighth of its normal speed needs for a few tokens.
-constexpr Millis kStreamIdleTimeout = 4000;
+// Within which the client of a broken stream has to see its end, from the endpoint's last event on.
+constexpr Millis kMaxWaitAfterLastEvent = 5000;
+// For which this process may be held up, as the event arrives and as the timer fires.
+constexpr Millis kMaxStall = 150;
+constexpr Millis kStreamIdleTimeout = kMaxWaitAfterLastEvent - 2 * kMaxStall;
 
 bool is_open_stream(const RequestState& request) { return !request.closed && request.stream_begun(); }
 bool is_paused_stream(const RequestState& request) { return request.paused && request.stream_in_flight(); }
@@ -79,7 +81,9 @@
     const Millis now = context_.environment.now();
     request.client_progress.record(now, request.client ? request.client->acknowledged_bytes() : 0);
     const Millis stalls_at = request.client_progress.stalls_at();
-    if (stalls_at > now) return set_idle_timer(request, attempt_index, stalls_at);
+    // No later than the idle timeout of a stream that is resumed right now.
+    if (stalls_at > now)
+        return set_idle_timer(request, attempt_index, std::min(stalls_at, now + kStreamIdleTimeout));
     ++context_.counters.stalled_clients;
     abort_attempt(context_.environment, *request.find_attempt(attempt_index), AttemptResult::cancelled);
 }
--- a/tests/life/stream-end.test.mjs
+++ b/tests/life/stream-end.test.mjs
@@ -4,6 +4,7 @@
 import { chunk, sleep, startDeployment, stopDeployment, STREAM_HEAD, StreamClient, waitUntil } from './platform.mjs';
 
 const END_LIMIT_MS = 5000;  // within which the client of a broken stream has to see its end, from the last event on
+const EVENT_PAUSE_MS = 4500;  // between the events of a slow stream; shorter than END_LIMIT_MS
 const LAST_CHUNK = '0\r\n\r\n';
 
 const FIRST = 'data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}\n\n';
@@ -153,6 +154,22 @@
   }
 });
 
+// Guards against cutting off a stream whose endpoint is slow but still writes.
+test(`a stream with an event each ${EVENT_PAUSE_MS} ms is not cut off`, async () => {
+  const writeSlowly = async (socket) => {
+    socket.write(STREAM_HEAD + chunk(FIRST));
+    for (const event of [FIRST, STOP, MARKER]) {
+      await sleep(EVENT_PAUSE_MS);
+      socket.write(chunk(event));
+    }
+    socket.write(LAST_CHUNK);
+  };
+  const clients = deployments.flatMap((deployment) => Array.from({ length: 6 },
+    (_, index) => ask(deployment, `slow-${index}`, writeSlowly, { lane: LANES[index % LANES.length] })));
+  for (const client of await waitForEnds(clients, 4 * EVENT_PAUSE_MS))
+    assert.ok(client.complete, `${client.txn}: cut off ${client.endedAt - client.lastByteAt} ms after ${client.text}`);
+});
+
 test('the log and the status tell how an incomplete stream ended', async () => {
   for (const { gateway } of deployments) {
     await ask({ gateway }, 'told', (socket) => writeAll(socket, WAYS['a chunk an event'](FIRST + MORE))).ended;
