--- a/src/fake_engine/engine.cpp
+++ b/src/fake_engine/engine.cpp
@@ -112,6 +112,7 @@
 }
 
 constexpr int kCrashStatus = 3;
+constexpr std::uint64_t kMaxTruncatedTokens = 8;  // that a truncated stream has
 constexpr Millis kFetchTimeout = 2000;
 constexpr Millis kLoadSampleInterval = 20;
 constexpr Millis kMaxTimerDelay = 1000;
@@ -297,6 +298,8 @@
     connection.request_id = id;
     request.silent = names_class(silent_classes_, job.cls);
     request.muted = !request.silent && names_class(mute_classes_, job.cls);
+    if (!request.is_prefill && names_class(truncate_classes_, job.cls))
+        request.truncated_after = 1 + static_cast<int>(api::hash(id) % kMaxTruncatedTokens);
     const bool is_silent = request.silent;
     const bool is_prefill = request.is_prefill;
     active_requests_[id] = std::move(request);
@@ -372,6 +375,8 @@
         set_member(silent_classes_, json.value("class", ""), is_on);
     } else if (word == "mute") {
         set_member(mute_classes_, json.value("class", ""), is_on);
+    } else if (word == "truncate") {
+        set_member(truncate_classes_, json.value("class", ""), is_on);
     } else if (word == "cut") {
         set_member(cut_from_, json.value("from", ""), is_on);
         if (!is_on) resume_connections();
@@ -523,6 +528,7 @@
     if (request.connection && !request.muted) {
         std::string events = stream_start(request);
         if (!text.empty()) events += stream_event(id, choice({{"content", text}}), nullptr);
+        if (request.tokens == request.truncated_after && !last) return truncate_stream(id, events);
         if (last) events += stream_end(request, truncated);
         request.connection->write(events);
     }
@@ -536,6 +542,19 @@
     connection->handle_pending();
 }
 
+// Ends the stream behind `events` before its stop reason, in one of two ways.
+void Engine::truncate_stream(const std::string& id, std::string events) {
+    Connection& connection = *active_requests_.at(id).connection;
+    model_.abort(net::now(), id);
+    const bool ends_message = api::hash(id + "/end") % 2 == 0;
+    if (ends_message) events += http::kLastChunk;
+    connection.write(events);
+    end_request(id, "truncated");
+    if (!ends_message) return connection.stream->shutdown_write();
+    connection.busy = false;
+    connection.handle_pending();
+}
+
 // One server-sent event of an answer's stream; only the last one has the usage.
 std::string Engine::stream_event(const std::string& id, Json choices, const Json* usage) const {
     Json json = {
--- a/src/fake_engine/engine.h
+++ b/src/fake_engine/engine.h
@@ -7,6 +7,9 @@
 //   error{on,class}     answers with status 500
 //   silent{on,class}    accepts requests, but neither processes nor answers them
 //   mute{on,class}      processes requests, but does not answer them
+//   truncate{on,class}  ends streams after some tokens, as if they were whole: with the end of the message,
+//   or
+//                       of the connection
 //   cut{on,from}        neither reads nor writes on connections from addresses that begin with `from`, like a
 //                       network that drops packets
 //   late_reports{on,ms} reports the load with a delay
@@ -18,6 +21,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -66,8 +70,9 @@
         Job job;
         bool is_prefill = false;
         bool stream_started = false;
-        bool silent = false;  // accepted, but not processed (order `silent`)
-        bool muted = false;   // processed, but not answered (order `mute`)
+        bool silent = false;                 // accepted, but not processed (order `silent`)
+        bool muted = false;                  // processed, but not answered (order `mute`)
+        std::optional<int> truncated_after;  // tokens (order `truncate`)
         StopSequences stops;
         std::string state_host;  // address of the prefill engine that stores the KV state
         int state_port = 0;
@@ -97,6 +102,7 @@
     std::string stream_event(const std::string& id, invariants::Json choices,
                              const invariants::Json* usage) const;
     std::string stream_start(const ActiveRequest& request);
+    void truncate_stream(const std::string& id, std::string events);
     std::string stream_end(const ActiveRequest& request, bool truncated) const;
     void end_request(const std::string& id, const char* how);
     bool claim_key(const std::string& key);
@@ -114,7 +120,7 @@
     std::list<std::unique_ptr<StateFetch>> fetches_, ended_fetches_;
     std::unordered_map<std::string, ActiveRequest> active_requests_;
     std::set<std::string> own_keys_;
-    std::set<std::string> error_classes_, silent_classes_, mute_classes_, cut_from_;
+    std::set<std::string> error_classes_, silent_classes_, mute_classes_, truncate_classes_, cut_from_;
     std::deque<std::pair<Millis, double>> load_reports_;  // memory usage fraction by time, for late_reports
     Millis load_report_delay_ = 0;
     bool draining_ = false;
--- a/src/invariants/checks.h
+++ b/src/invariants/checks.h
@@ -12,6 +12,7 @@
 Finding check_answered(const RecordIndex& index);
 Finding check_nothing_after(const RecordIndex& index);
 Finding check_text(const RecordIndex& index);
+Finding check_complete(const RecordIndex& index);
 // Invariant 2 (execution_checks.cpp).
 Finding check_runs_once(const RecordIndex& index);
 Finding check_no_overlap(const RecordIndex& index);
--- a/src/invariants/client_checks.cpp
+++ b/src/invariants/client_checks.cpp
@@ -88,4 +88,23 @@
     return finding;
 }
 
+Finding check_complete(const RecordIndex& index) {
+    Finding finding = make_finding("1 no request lost", "answers ended as whole were whole at their engine");
+    for (const auto& [name, client] : index.clients()) {
+        if (client.ending != "whole" || client.request.empty()) continue;
+        const EngineAttempt* truncated = nullptr;
+        bool completed = false;
+        for (const EngineAttempt& attempt : index.attempts_of(client.request)) {
+            if (attempt.received->text("op") != "write") continue;
+            completed = completed || attempt.ending == "done";
+            if (attempt.ending == "truncated") truncated = &attempt;
+        }
+        ++finding.cases;
+        if (!truncated || completed) continue;
+        add_violation(finding, name + " (" + record_location(client.record) +
+                                   "): its engine ended it early, " + record_location(truncated->received));
+    }
+    return finding;
+}
+
 }  // namespace gorsenotch::invariants
--- a/src/invariants/record_checker.cpp
+++ b/src/invariants/record_checker.cpp
@@ -75,7 +75,7 @@
     Verdict verdict;
     verdict.findings = {check_answered(index),   check_nothing_after(index), check_text(index),
                         check_runs_once(index),  check_no_overlap(index),    check_drains(index),
-                        check_slow_start(index), check_leased_states(index)};
+                        check_slow_start(index), check_leased_states(index), check_complete(index)};
     verdict.service = summarize_service(index);
     for (Finding& finding : verdict.findings) add_trace(index, finding);
     return verdict;
--- a/tests/invariants/record_checker_test.cpp
+++ b/tests/invariants/record_checker_test.cpp
@@ -202,6 +202,21 @@
     expect_violation(keyed, "2 once and b");
 }
 
+// Guards against an answer that its engine ended early and its client took for whole.
+TEST(RecordChecker, ReportsATruncatedAnswerThatWasEndedAsWhole) {
+    const auto truncated = [] {
+        return RecordBuilder()
+            .client_request()
+            .prefill()
+            .attempt(1, 2, "write", 1030)
+            .engine_event(1, 1032, "taken", 0)
+            .engine_event(2, 1039, "end", 1, "truncated");
+    };
+    expect_violation(truncated().answer(1045), "1 answers ende");
+    expect_violation(truncated().answer(1045, 200, "broken"), "");
+    expect_violation(truncated().decode(2, 1040).answer(1055), "");  // completed by another attempt
+}
+
 TEST(RecordChecker, ReportsOverlappingAttempts) {
     RecordBuilder builder =
         RecordBuilder().client_request().attempt(0, 1, "read", 1001).attempt(1, 2, "read", 1200);
