node: a request that may not be repeated is not run again under its id

Cause: an id was known only while its request was open.

Such a request is answered with 502 and not sent. Requests that never ran, and repeatable ones, are sent as before.

Test: 'a request that may not be repeated is not run again under the id of one that may have run' (node.test.mjs); on the commit before it fails: 200 for 502.

--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -206,6 +206,7 @@
     if (group_.refuses_requests(net::now())) return refuse_draining(std::nullopt);
     if (group_.lifecycle.is_open(inbound_->txn))
         return reject(409, "x-txn: a request with this id is in progress");
+    if (group_.lifecycle.may_have_executed(*inbound_)) return refuse_repeated();
     start_request();
 }
 
@@ -259,6 +260,13 @@
     answer(503, "draining", 0, end_reason);
 }
 
+// Refuses the request that is being read: one with its id may have had its effect.
+void ClientConnection::refuse_repeated() {
+    ++group_.counters.refused_repeated;
+    inbound_.reset();
+    answer(502, "x-txn: a request with this id may have run", 0);
+}
+
 void ClientConnection::refuse_incomplete() {
     if (state_ == State::reading && request_began_at_) refuse_draining(EndReason::draining);
 }
--- a/src/platform/client_connection.h
+++ b/src/platform/client_connection.h
@@ -67,6 +67,7 @@
     std::uint64_t bad_requests = 0;      // rejected before RequestLifecycle accepted them
     std::uint64_t refused_draining = 0;  // read too late after the order to stop
     std::uint64_t refused_memory = 0;    // did not fit into the memory budget
+    std::uint64_t refused_repeated = 0;  // their transaction id is that of a request that may have run
     std::uint64_t accept_failed = 0;
     std::array<std::uint64_t, kEndReasonNames.size()> ended{};
     std::array<std::uint64_t, control::kCloseBlockReasonNames.size()> close_blocks{};
@@ -191,6 +192,7 @@
                 std::optional<EndReason> end_reason = std::nullopt);
     void reject(int status, std::string_view text);
     void refuse_draining(std::optional<EndReason> end_reason);
+    void refuse_repeated();
     void await_next_request();
     void end(EndReason reason);
     void disconnect_client();
--- a/src/platform/lifecycle_context.h
+++ b/src/platform/lifecycle_context.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "control/executed_requests.h"
 #include "control/invariant_checker.h"
 #include "control/send_preconditions.h"
 #include "gorsenotch/events.h"
@@ -83,6 +84,8 @@
     RequestTable requests;
     HealthChecker health_checker;
     control::InvariantChecker invariant_checker;
+    // Requests that are not idempotent, and over.
+    control::ExecutedRequests executed_requests;
     Counters counters;
     std::size_t attempts_in_flight = 0;  // of all requests
 };
--- a/src/platform/request_completion.cpp
+++ b/src/platform/request_completion.cpp
@@ -1,5 +1,6 @@
 #include "platform/request_completion.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gorsenotch::platform {
@@ -114,7 +115,18 @@
     to_revisit_.clear();
 }
 
+// Guards against an effect that happens twice as the request comes again under its id.
+void RequestCompletion::record_execution(const RequestState& request) {
+    const auto cls = static_cast<std::size_t>(request.inbound.arrival.cls);
+    if (context_.named.settings.classes[cls].idempotency == Idempotency::idempotent) return;
+    const bool may_have_run = std::any_of(
+        request.attempts.begin(), request.attempts.end(),
+        [](const AttemptState& attempt) { return !attempt.is_prefill && !never_ran(attempt.result); });
+    if (may_have_run) context_.executed_requests.add(context_.environment.now(), request.inbound.txn);
+}
+
 void RequestCompletion::remove(RequestState& request) {
+    record_execution(request);
     lease_keeper_.abandon_reservation(request);
     if (!lease_keeper_.release_in_progress(request))
         context_.health_checker.on_request_ended(request.inbound.txn);
--- a/src/platform/request_completion.h
+++ b/src/platform/request_completion.h
@@ -59,6 +59,7 @@
     void log_request(const RequestState& request, std::optional<RequestOutcome> outcome,
                      std::optional<EndCause> cause = std::nullopt,
                      std::optional<StreamRecord> stream = std::nullopt);
+    void record_execution(const RequestState& request);
     void remove(RequestState& request);
 
     LifecycleContext& context_;
--- a/src/platform/request_lifecycle.h
+++ b/src/platform/request_lifecycle.h
@@ -45,6 +45,10 @@
     // ---- requests ----
     // A request with this transaction id is open.
     bool is_open(const std::string& txn) const { return context_.requests.contains_transaction(txn); }
+    // A request with the same transaction id may have had its effect, which must not happen twice.
+    bool may_have_executed(const Inbound& inbound) {
+        return context_.executed_requests.contains(context_.environment.now(), inbound.txn);
+    }
     // Accepts a request and returns its handle for the calls below; 0: a request with its transaction id is
     // open, and this one was not accepted. `age`: ms since its first byte was received.
     std::uint64_t on_request(Inbound inbound, Millis age, Client* client);
--- a/src/platform/status_reporter.cpp
+++ b/src/platform/status_reporter.cpp
@@ -168,6 +168,7 @@
     fields["bad_requests"] = clients.bad_requests;
     fields["refused_draining"] = clients.refused_draining;
     fields["refused_memory"] = clients.refused_memory;
+    fields["refused_repeated"] = clients.refused_repeated;
 }
 
 }  // namespace gorsenotch::platform
--- a/tests/life/node.test.mjs
+++ b/tests/life/node.test.mjs
@@ -347,3 +347,35 @@
   assert.match(stderr, /GW_LISTEN: /);
   rmSync(dir, { recursive: true });
 });
+
+// Guards against an id that runs twice as it comes again after its client has left.
+test('a request that may not be repeated is not run again under the id of one that may have run', async () => {
+  const decodes = (id) => decodeEngine.requests.filter((request) => request.method === 'POST' && request.headers['x-txn'] === id).length;
+  const statusOf = async (id, lane) => (await gateway.sendRequest(id, { headers: { 'x-lane': lane } })).status;
+  const leaveAfterDecode = async (id, lane) => {
+    const socket = net.connect(gateway.port, '127.0.0.1', () => socket.write(rawRequest(id, { lane })));
+    await waitUntil('the decode request', () => decodes(id) === 1);
+    socket.destroy();
+  };
+  decodeEngine.handler = (request) => request.method === 'POST' && request.headers['x-txn'].startsWith('left-') && decodes(request.headers['x-txn']) === 1;  // no answer
+  await leaveAfterDecode('left-once', 'pay');
+  await leaveAfterDecode('left-repeatable', 'chat');
+  await waitUntil('the end of both', () => decodeEngine.requests.filter((request) => request.headers['x-txn']?.startsWith('left-')).every((request) => request.closed));
+  await sleep(100);
+  assert.equal(await statusOf('left-once', 'pay'), 502);
+  assert.equal(await statusOf('left-repeatable', 'chat'), 200);
+  assert.equal(await statusOf('served-once', 'pay'), 200);
+  assert.equal(await statusOf('served-once', 'pay'), 502);
+  decodeEngine.handler = () => false;
+  assert.equal(decodes('left-once'), 1);
+  assert.equal(decodes('served-once'), 1);
+  prefillEngine.handler = (request, response) => {  // never ran: the prefill is rejected
+    if (request.method !== 'POST') return false;
+    response.writeHead(503, { 'x-turned-away': '1' });
+    response.end();
+    return true;
+  };
+  assert.notEqual(await statusOf('rejected-once', 'pay'), 200);
+  prefillEngine.handler = () => false;
+  assert.equal(await statusOf('rejected-once', 'pay'), 200);
+});
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -24,6 +24,7 @@
                                             "memory_bytes",
                                             "memory_refusals",
                                             "refused_memory",
+                                            "refused_repeated",
                                             "endpoints",
                                             "client_connections",
                                             "upstream_connections",
