--- a/tests/platform/attempt_runner_test.cpp
+++ b/tests/platform/attempt_runner_test.cpp
@@ -111,7 +111,7 @@
               std::string::npos);
     EXPECT_NE(last_exchange().request.find("\r\n\r\n{}"), std::string::npos);
     environment.connect_time = 0;
-    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+    answer(kWholeAnswer);
     answer_all_releases();
 }
 
--- a/tests/platform/client_connections_fixture.h
+++ b/tests/platform/client_connections_fixture.h
@@ -65,7 +65,7 @@
             if (started.request.rfind("DELETE", 0) == 0) {
                 started.exchange->on_data("HTTP/1.1 204 No Content\r\n\r\n");
             } else if (started.address == "10.0.0.3:1") {
-                started.exchange->on_data(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+                started.exchange->on_data(kWholeAnswer);
             } else {
                 started.exchange->on_data(kPrefillAnswer);
             }
--- a/tests/platform/lease_keeper_test.cpp
+++ b/tests/platform/lease_keeper_test.cpp
@@ -26,7 +26,7 @@
         for (const char* txn : {"over1", "over2"}) {
             send_request(txn, client);
             answer_prefill();
-            answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+            answer(kWholeAnswer);
             advance(1100);
         }
         environment.exchanges.clear();
@@ -170,7 +170,7 @@
     const auto complete_request = [&](const std::string& txn) {
         send_request(txn, client);
         answer_prefill();
-        answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+        answer(kWholeAnswer);
     };
     complete_request("t1");
     advance(1100);
@@ -341,7 +341,7 @@
         send_request("earlier" + std::to_string(i), client);
         advance(650);
         latest_attempt()->on_data(kPrefillAnswer);
-        latest_attempt()->on_data(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+        latest_attempt()->on_data(kWholeAnswer);
         answer_all_releases();
     }
     ASSERT_EQ(lifecycle.open_requests(), 0u);
@@ -374,7 +374,7 @@
     send_request("later", other);
     ASSERT_EQ(last_exchange().address, environment.exchanges.front().address);
     answer_prefill();
-    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+    answer(kWholeAnswer);
     const auto is_release = [](const auto& started) {
         return started.request.rfind("DELETE /bootstrap/rooms/lost ", 0) == 0;
     };
--- a/tests/platform/platform_world.h
+++ b/tests/platform/platform_world.h
@@ -40,6 +40,8 @@
 inline std::string chunked(const std::string& text) { return http::chunk(text); }
 // The end of a whole answer: its end marker, and the last chunk.
 inline const std::string kStreamEnd = chunked("data: [DONE]\n\n") + "0\r\n\r\n";
+// A whole answer with one event.
+inline const std::string kWholeAnswer = kStreamHead + chunked("data: a\n\n") + kStreamEnd;
 
 // Records the answer to its request.
 struct RecordingClient : Client {
--- a/tests/platform/request_lifecycle_test.cpp
+++ b/tests/platform/request_lifecycle_test.cpp
@@ -31,7 +31,7 @@
     RecordingClient other;
     EXPECT_EQ(send_request("t1", other), 0u);
     answer_prefill();
-    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+    answer(kWholeAnswer);
     EXPECT_EQ(other.answers_ended, 0);
     EXPECT_NE(send_request("t1", other), 0u);
     answer_prefill();
@@ -126,7 +126,7 @@
             } else {
                 leased.erase(txn(sent));  // the decode has fetched the KV cache
                 if (behaviour < 2)
-                    sent.exchange->on_data(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+                    sent.exchange->on_data(kWholeAnswer);
                 else
                     sent.exchange->on_data(kStreamHead + chunked("data: a\n\n") + "zz");
             }
--- a/tests/platform/status_reporter_test.cpp
+++ b/tests/platform/status_reporter_test.cpp
@@ -83,7 +83,7 @@
     EXPECT_EQ(fields["open_requests"], 1);
     EXPECT_EQ(fields["attempts_in_flight"], 1);
     answer_prefill();
-    answer(kStreamHead + chunked("data: a\n\n") + kStreamEnd);
+    answer(kWholeAnswer);
     fields = reporter.fields();
     EXPECT_EQ(fields["open_requests"], 0);
     EXPECT_EQ(fields["arrived"], 1);
