node answers at most 8 requests of a connection before others have their turn

Cause: all requests of a read were answered before anything else, up to 32 reads a poll and connection, and the output was written after all connections had been read: limits on unsent output are checked between reads only.

Fix: a turn of 8 requests, none while the output is congested; the rest of the input (one read of 16 KiB) waits for the next flush, and the socket is not read meanwhile.

Tests: '200 clients that send readiness checks at full speed stay within 32 MB, and no other client is refused or late' (memory.test.mjs; before: 32.5 MB), BackPressureTest.RequestsThatAreAnsweredAtOnceAreAnsweredInTurnWithOtherConnections (before: all 600 answered first).

--- a/src/platform/client_connection.cpp
+++ b/src/platform/client_connection.cpp
@@ -15,6 +15,8 @@
 constexpr http::Limits kRequestLimits{16 * kKibibyte, 64, kMaxBodyBytes};
 constexpr Millis kLingerTimeout = 500;  // from this side's FIN, or the last input after it, to the client's
 constexpr std::size_t kMaxPipelinedBytes = 8 * kKibibyte;
+// Requests that are answered at once, before other connections have their turn.
+constexpr int kMaxRequestsPerTurn = 8;
 // The rest of a refused request that is read and discarded: a body of permitted size, also in small chunks.
 constexpr std::size_t kMaxDiscardedBytes = 2 * kMaxBodyBytes;
 // Buffered bytes of an answer above which reading from its endpoint is paused: the share of one holder of
@@ -88,11 +90,12 @@
 }
 
 // The only place that pauses or resumes reading: bounds the memory for the answers to a client that does not
-// read them. Has to be called whenever the output or the state has changed. While an endpoint works, reading
-// goes on, as the client's disconnection has to be noticed.
+// read them, and for input that waits for this connection's next turn. Has to be called whenever the output,
+// the input or the state has changed. While an endpoint works, reading goes on, as the client's disconnection
+// has to be noticed.
 void ClientConnection::update_reading() {
     if (state_ == State::gone) return;
-    const bool paused = state_ == State::reading && is_congested();
+    const bool paused = state_ == State::reading && (is_congested() || !pipelined_.empty());
     if (paused == reading_paused_) return;
     reading_paused_ = paused;
     if (paused) progress_.start(net::now(), acknowledged_bytes());
@@ -114,16 +117,22 @@
 
 void ClientConnection::read_pipelined() { read(std::exchange(pipelined_, std::string())); }
 
+// Guards against a client that sends requests at full speed: the answers of one turn are bounded, and other
+// connections have theirs. The rest of the input is read in the next turn, see ClientConnections::flush.
 void ClientConnection::read(std::string_view bytes) {
+    int requests = 0;
     while (state_ == State::reading && !bytes.empty()) {
+        if (requests == kMaxRequestsPerTurn || is_congested()) break;
         bytes.remove_prefix(parser_.feed(bytes));
         if (state_ == State::gone || state_ == State::ending) return;
         record_request_start();
         if (parser_.fault() != http::Fault::none) return reject_malformed();
         if (state_ == State::reading && !reserve_head()) return refuse_memory();
-        if (parser_.complete()) on_request_complete();
+        if (!parser_.complete()) continue;
+        on_request_complete();
+        ++requests;
     }
-    if (state_ == State::open) pipelined_.append(bytes);
+    if (state_ == State::open || state_ == State::reading) pipelined_.append(bytes);
     update_memory();
     update_reading();
 }
@@ -341,6 +350,8 @@
     if (state_ == State::gone) return;
     if (state_ == State::ending) last_activity_ = linger_began_at_ = net::now();
     on_output_sent();
+    // Its turn was put off because of the output that has now been sent.
+    if (state_ == State::reading && !pipelined_.empty()) owner_.schedule_flush(*this);
 }
 
 void ClientConnection::on_output_sent() {
--- a/tests/life/memory.test.mjs
+++ b/tests/life/memory.test.mjs
@@ -1,9 +1,11 @@
 // The memory of one gateway process (`gorsenotch node`) stays under its limit, whatever clients send or leave unread. The limit is
 // checked against the peak of the process, so the program must not be a sanitizer build: those need several times the memory.
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
 import net from 'node:net';
 import { afterEach, test } from 'node:test';
-import { Discovery, Engine, Gateway, assertPeakWithin, processMemoryMb, rawRequest, waitUntil } from './platform.mjs';
+import { fileURLToPath } from 'node:url';
+import { Discovery, Engine, Gateway, assertPeakWithin, processMemoryMb, rawRequest, sleep, waitUntil } from './platform.mjs';
 
 const KIBIBYTE = 1024;
 const LARGE_BODY_BYTES = 250 * KIBIBYTE;  // "No body exceeds 256 KiB"
@@ -113,6 +115,23 @@
   assert.equal(ended.filter((text) => text === 'still open').length, 0);
 });
 
+// Guards against requests that are answered at once, as many as one read holds on each connection before any other has its turn.
+test('200 clients that send readiness checks at full speed stay within 32 MB, and no other client is refused or late', async () => {
+  const SECONDS = 5, REMAINING_MS = 2500;
+  await start({ memory_mb: 32, sockets: 1024 });
+  const flood = spawn(process.execPath, [fileURLToPath(new URL('./flood.mjs', import.meta.url)), gateway.port, 200, SECONDS], { stdio: 'ignore' });
+  const flooded = new Promise((resolve) => flood.on('close', resolve));
+  const usual = [];
+  while (flood.exitCode === null) {
+    usual.push(send(`usual-${usual.length}`, { body: '{}', remainingMs: REMAINING_MS }));
+    await Promise.race([sleep(50), flooded]);
+  }
+  const outcomes = await Promise.all(usual);
+  expectUnderLimit(32);
+  assert.deepEqual(countByStatus(outcomes), { 200: outcomes.length });
+  for (const { txn, ms } of outcomes) assert.ok(ms < REMAINING_MS, `${txn}: answered after ${ms} ms`);
+});
+
 // Guards against a limit that a reloaded configuration cannot change.
 test('a reload changes the limit on memory', async () => {
   await start({ memory_mb: 192, sockets: 512 });
--- a/tests/platform/back_pressure_test.cpp
+++ b/tests/platform/back_pressure_test.cpp
@@ -86,6 +86,27 @@
     }
 };
 
+// Guards against a client that has its requests answered at once, as many as it sends, before any other.
+TEST_F(BackPressureTest, RequestsThatAreAnsweredAtOnceAreAnsweredInTurnWithOtherConnections) {
+    constexpr std::size_t kRequests = 600;
+    constexpr std::size_t kMaxUnsentBytes = std::size_t{8} * 1024;
+    const std::string request = "GET /-/ready HTTP/1.1\r\n\r\n";
+    std::string requests;
+    for (std::size_t i = 0; i < kRequests; ++i) requests += request;
+    BlockingClient peer(clients->port());
+    BlockingClient other(clients->port());
+    run(5);
+    peer.send(requests);
+    other.send(request);
+    run_until([&] { return other.read_available(), other.count("HTTP/1.1 200") == 1; });
+    peer.read_available();
+    EXPECT_LT(peer.count("HTTP/1.1 200"), kRequests);
+    EXPECT_LT(clients->unsent_bytes(), kMaxUnsentBytes);
+    run_until([&] { return peer.read_available(), peer.count("HTTP/1.1 200") == kRequests; });
+    peer.send(request);
+    run_until([&] { return peer.read_available(), peer.count("HTTP/1.1 200") == kRequests + 1; });
+}
+
 // Guards against a stream paused for good: a burst exceeds the limit, the kernel takes all of it at once, and
 // no queued write is left whose end would resume the stream.
 TEST_F(BackPressureTest, AStreamPausedByABurstIsResumedWhenTheKernelTakesAllOfItAtOnce) {
