--- a/tests/soak/servers.mjs
+++ b/tests/soak/servers.mjs
@@ -8,6 +8,7 @@
 import { drawAnswerForm, wholeAnswer } from './stream_ends.mjs';
 
 const LEASE_RETENTION_MS = 20000;  // an unused lease expires at the server after this
+const CHUNK_NOISE = 'zz\r\nnoise';  // no chunk size can be read from it
 const SHORT_TIMEOUT_MS = 60;  // with less remaining time a server may drop a request without a response
 
 // A simulated model server.
@@ -65,6 +66,7 @@
   constructor(server, socket) {
     this.server = server;
     this.socket = socket;
+    this.port = socket.remotePort;  // undefined once the peer has reset the connection
     this.harness = server.harness;
     this.currentAttempt = null;  // the attempt being served
     this.peerStateLost = false;  // as if this host had lost the connection's state: the next request is answered by a reset
@@ -163,7 +165,7 @@
     const txn = request.headers['x-txn'];
     const attempt = { id: harness.records.attempts.length, txn, server: server.name, role: server.role, zone: server.zone, life: server.incarnation,
       firstByteAt: this.firstByteAt, lastByteAt: now, told: parseFloat(request.headers['x-remaining']),
-      block: server.block, body: request.body, target: request.target, endedAt: -1, outcome: '', ran: false, port: this.socket.remotePort, turnedAway: false, events: [], whole: false,
+      block: server.block, body: request.body, target: request.target, endedAt: -1, outcome: '', ran: false, port: this.port, turnedAway: false, events: [], whole: false,
       cold: now - server.lastStartAt < harness.schedule.settings.warmWithin };
     harness.records.attempts.push(attempt);
     return attempt;
@@ -266,7 +268,8 @@
       bytesLeft -= text.length;
       if (mode.resetStreams && attempt.events.length > 0 && random.chance(0.2)) return this.reset('a stream');
       if (mode.spoil && attempt.events.length > 0 && random.chance(0.1)) {
-        this.write('zz\r\nnoise');
+        this.write(CHUNK_NOISE);
+        if (contentLength !== null) attempt.partial = CHUNK_NOISE;  // a part of the body there
         attempt.spoiltAt = this.harness.now();
         return this.endAttempt(attempt, 'spoilt');
       }
@@ -275,6 +278,8 @@
         if (isCut) return this.endStreamEarly(attempt, end.way, contentLength);
         delete attempt.partial;
         attempt.events.push({ text, at: this.harness.now() });
+        // With a length the message ends with the last of its bytes.
+        if (bytesLeft === 0 && end.way === 'message' && contentLength !== null && !isLast) return this.endStreamEarly(attempt, end.way, contentLength);
         if (!isLast) return this.runAfter(random.between(5, 40) * Math.min(slowdown, 4), sendEvent);
         if (end && end.way !== 'message' && contentLength === null) return this.endStreamEarly(attempt, end.way, contentLength);
         if (contentLength === null) this.write('0\r\n\r\n');
