--- a/src/fake_engine/engine.h
+++ b/src/fake_engine/engine.h
@@ -7,9 +7,7 @@
 //   error{on,class}     answers with status 500
 //   silent{on,class}    accepts requests, but neither processes nor answers them
 //   mute{on,class}      processes requests, but does not answer them
-//   truncate{on,class}  ends streams after some tokens, as if they were whole: with the end of the message,
-//   or
-//                       of the connection
+//   truncate{on,class}  ends streams after some tokens: with the end of the message, or of the connection
 //   cut{on,from}        neither reads nor writes on connections from addresses that begin with `from`, like a
 //                       network that drops packets
 //   late_reports{on,ms} reports the load with a delay
