Test of accept failures: a request that the Router refuses for load is told from a closed connection

Traced, 2 of 36 runs beside load, sanitizers: 'accept-EMFILE-7 rejected cause decode_too_late class 0 ... prefill r1 172 +40 prefill_done'. The connection was accepted and has its whole answer; on a slow host eight requests at once on a gateway just started are too many for the Router. The check was wrong to take that for a lost connection.

Change: an answer that is not 200 has to be a whole 503 'refused', and the gateway's log has to tell that request's refusal for load (load_shed, decode_too_late); each round has to serve at least one. Anything else fails as before.

--- a/tests/life/faults.test.mjs
+++ b/tests/life/faults.test.mjs
@@ -39,6 +39,13 @@
   });
 }
 
+const SERVED = /^HTTP\/1.1 200 [^]*\[DONE\]/;
+// On a slow host the Router may refuse a request of a burst: its connection was accepted and has a whole answer, and the log tells the cause.
+async function assertRefusedForLoad(gateway, txn, text) {
+  assert.match(text, /^HTTP\/1.1 503 [^]*\r\n\r\nrefused\n$/, `${txn}: ${text}`);
+  await waitUntil(`the refusal of ${txn} for load`, () => new RegExp(`"text":"${txn} rejected(_unsent)? cause (load_shed|decode_too_late) `).test(gateway.stderr), 2000);
+}
+
 test('a temporary failure of accept closes no pending connection', async () => {
   const faults = createFaults(), gateway = await startWithFaults(faults);
   for (const error of ['EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM', 'EINTR']) {
@@ -47,7 +54,9 @@
     await waitUntil(`an accept that fails with ${error}`, () => faults.given('accept') > 0);
     await sleep(150);
     faults.clear('accept');
-    for (const text of await responses) assert.match(text, /^HTTP\/1.1 200 [^]*\[DONE\]/, `${error}: ${text}`);
+    const texts = await responses;
+    for (const [index, text] of texts.entries()) if (!SERVED.test(text)) await assertRefusedForLoad(gateway, `accept-${error}-${index}`, text);
+    assert.ok(texts.some((text) => SERVED.test(text)), `${error}: no request was served`);
   }
   // With ECONNABORTED that connection is lost; those queued behind it must still be accepted.
   faults.set('accept', 'ECONNABORTED', 0.5);
